--- /dev/null
+++ b/citronspring/admin/__init__.py
@@ -0,0 +1,1 @@
+"""The administration API."""
--- /dev/null
+++ b/citronspring/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/citronspring/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Templates, client accounts and the commits that change them."""
--- /dev/null
+++ b/citronspring/control/__init__.py
@@ -0,0 +1,1 @@
+"""What hosts tell each other: messages, codec and byte budget."""
--- /dev/null
+++ b/citronspring/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""Thin processes around the decision core."""
--- /dev/null
+++ b/citronspring/systems/__init__.py
@@ -0,0 +1,1 @@
+"""The rules of the decision core, one module per concern."""
