--- /dev/null
+++ b/citronspring/balancer.py
@@ -0,0 +1,145 @@
+"""The decision core: events in, actions out, all state in tables."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from citronspring.entities import HostState
+from citronspring.messages import (
+    HostListRead,
+    LeaveRequested,
+    PacketReceived,
+    RecordsRead,
+    RelayReceived,
+    SnapshotRead,
+)
+from citronspring.systems.drain import check_leaving, request_leave
+from citronspring.systems.expiry import expire_flows, expire_hints
+from citronspring.systems.openings import expire_openings
+from citronspring.systems.ownership import renew_ring
+from citronspring.systems.revisions import apply_records, apply_snapshot
+from citronspring.systems.routing import receive_packet, receive_relay
+from citronspring.systems.second_chance import expire_walks
+from citronspring.tables import HostRow, Tables
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from citronspring.entities import Host
+    from citronspring.messages import Action, Event
+
+#: Flow rows a host may hold, unless its settings say otherwise.
+DEFAULT_MAX_FLOWS = 1_000_000
+
+
+class Balancer:
+    """One host's decisions. Pure: time, randomness and I/O come as arguments.
+
+    Parameters
+    ----------
+    tables : Tables
+        The state, made by `from_config`.
+    """
+
+    def __init__(self, tables: Tables) -> None:
+        self.tables = tables
+
+    @classmethod
+    def from_config(
+        cls,
+        host: Host,
+        peers: Iterable[Host] = (),
+        max_flows: int = DEFAULT_MAX_FLOWS,
+    ) -> Balancer:
+        """Make the core of a host that knows some peers and no configuration."""
+        tables = Tables(host.host_id, host.zone, host.group, max_flows)
+        for member in (host, *peers):
+            tables.hosts[member.host_id] = HostRow(member, HostState.ALIVE)
+        renew_ring(tables, 0.0)
+        return cls(tables)
+
+    def receive(self, event: Event, now: float) -> list[Action]:
+        """Handle one event.
+
+        Parameters
+        ----------
+        event : Event
+            What happened.
+        now : float
+            Seconds on a clock that never goes back.
+
+        Returns
+        -------
+        list of Action
+            What the carrier must do, in order.
+        """
+        actions: list[Action] = []
+        tables = self.tables
+        match event:
+            case PacketReceived():
+                tables.last_packet_at = now
+                receive_packet(tables, event, now, actions)
+            case RelayReceived():
+                tables.last_packet_at = now
+                receive_relay(tables, event, now, actions)
+            case SnapshotRead():
+                apply_snapshot(tables, event.snapshot, now)
+            case RecordsRead():
+                apply_records(tables, event.records, now)
+            case HostListRead():
+                pass
+            case LeaveRequested():
+                request_leave(tables, event.deadline, now)
+        return actions
+
+    def tick(self, now: float) -> list[Action]:
+        """Run the systems that act on time; to be called several times a second."""
+        actions: list[Action] = []
+        tables = self.tables
+        renew_ring(tables, now)
+        expire_openings(tables, now, actions)
+        expire_walks(tables, now, actions)
+        expire_flows(tables, now)
+        expire_hints(tables, now)
+        check_leaving(tables, now, actions)
+        return actions
+
+    def dump(self) -> dict[str, object]:
+        """Return the state as plain values, for operators."""
+        tables = self.tables
+        return {
+            "host": tables.host_id,
+            "zone": tables.zone,
+            "group": tables.group,
+            "revision": tables.revision,
+            "leaving": tables.leave_deadline is not None,
+            "hosts": {
+                host_id: {
+                    "state": row.state.value,
+                    "incarnation": row.incarnation,
+                    "revision": row.revision,
+                    "zone": row.host.zone,
+                }
+                for host_id, row in sorted(tables.hosts.items())
+            },
+            "accounts": {
+                account_id: {
+                    "open_flows": row.open_flows,
+                    "targets": {
+                        target.target.target_id: {
+                            "flows": target.flows,
+                            "remote_flows": target.remote_flows,
+                            "leaving": target.target.leaving,
+                            "ejected_until": target.ejected_until,
+                        }
+                        for target in row.targets
+                    },
+                }
+                for account_id, row in sorted(tables.accounts.items())
+            },
+            "flows": len(tables.flows.rows),
+            "openings": len(tables.openings),
+            "walks": len(tables.walks),
+            "hints": len(tables.hints),
+            "counters": dict(sorted(tables.counters.items())),
+        }
--- /dev/null
+++ b/citronspring/packets.py
@@ -0,0 +1,305 @@
+"""Wire format: Generic UDP Encapsulation around IP packets, to typed packets.
+
+Generic UDP Encapsulation is draft-ietf-intarea-gue; the four bytes are version
+and header length, protocol, and flags. Packets between hosts carry 16 bytes of
+private data that say why, see `RelayFrame`.
+"""
+
+from __future__ import annotations
+
+import socket
+import struct
+from dataclasses import dataclass
+
+import dpkt
+
+from citronspring.entities import Endpoint, FlowKey
+from citronspring.errors import MalformedPacketError
+from citronspring.messages import ACK, RST, SYN, Packet, RelayKind
+
+#: UDP port that Generic UDP Encapsulation is assigned.
+GUE_PORT = 6080
+
+#: Largest datagram a tunnel socket takes.
+MAX_DATAGRAM = 65535
+
+PROTOCOL_ICMP = 1
+PROTOCOL_IPV4 = 4
+PROTOCOL_TCP = 6
+PROTOCOL_UDP = 17
+PROTOCOL_NONE = 59
+
+GUE_HEADER = bytes([0, PROTOCOL_IPV4, 0, 0])
+GUE_HEADER_LENGTH = 4
+#: Header length field counts words of four bytes after the first.
+RELAY_WORDS = 4
+RELAY_HEADER = struct.Struct(">BBHB3x4sH4sH")
+RELAY_HEADER_LENGTH = RELAY_HEADER.size
+
+#: Version, DSCP, total length, id, fragment, TTL, protocol, checksum, addresses.
+IPV4_HEADER = struct.Struct(">BxHxxHxBxx4s4s")
+IPV4_HEADER_LENGTH = 20
+TCP_HEADER = struct.Struct(">4sIIBB")
+PORTS_LENGTH = 4
+TCP_HEADER_LENGTH = 20
+UDP_HEADER_LENGTH = 8
+ICMP_HEADER_LENGTH = 8
+ICMP_UNREACHABLE = 3
+ICMP_ADMIN_PROHIBITED = 13
+FRAGMENT_MASK = 0x3FFF
+
+
+def malformed(kind: str) -> MalformedPacketError:
+    """Return the error for a packet that is dropped and counted under a kind."""
+    return MalformedPacketError(kind, "the sender must send whole IPv4 TCP or UDP")
+
+
+@dataclass(slots=True)
+class RelayFrame:
+    """A datagram between two hosts."""
+
+    kind: RelayKind
+    flow: FlowKey
+    packet: Packet | None
+    #: Tunnel of the target that sent the packet, if an answer.
+    source: Endpoint | None
+    #: Tunnel of the target that is proposed or bound.
+    target: Endpoint | None
+
+
+def encapsulate(inner: bytes) -> bytes:
+    """Return a datagram that carries an IPv4 packet through a tunnel."""
+    return GUE_HEADER + inner
+
+
+def decapsulate(datagram: bytes) -> bytes:
+    """Return the IPv4 packet a tunnel datagram carries.
+
+    Raises
+    ------
+    MalformedPacketError
+        If it is truncated, or not version 0, data, IPv4 and without options.
+    """
+    if len(datagram) < GUE_HEADER_LENGTH:
+        raise malformed("truncated")
+    if datagram[:GUE_HEADER_LENGTH] != GUE_HEADER:
+        raise malformed("tunnel-header")
+    return datagram[GUE_HEADER_LENGTH:]
+
+
+def decode_packet(data: bytes, from_caller: bool) -> Packet:
+    """Read the fields that routing needs from an IPv4 packet.
+
+    Payload on a SYN is cut off: it would otherwise reach two targets when the
+    opening is retried. The caller sends it again, as TCP allows.
+
+    Raises
+    ------
+    MalformedPacketError
+        With the kind under which the packet is counted.
+    """
+    if len(data) < IPV4_HEADER_LENGTH:
+        raise malformed("truncated")
+    first, total, fragment, protocol, source, destination = IPV4_HEADER.unpack_from(
+        data
+    )
+    header = (first & 0x0F) * 4
+    if first >> 4 != 4 or header < IPV4_HEADER_LENGTH:
+        raise malformed("ip-header")
+    if total > len(data) or total < header + UDP_HEADER_LENGTH:
+        raise malformed("truncated")
+    if fragment & FRAGMENT_MASK:
+        raise malformed("fragment")
+    if protocol == PROTOCOL_TCP:
+        return decode_tcp(data[:total], header, source, destination, from_caller)
+    if protocol == PROTOCOL_UDP:
+        return decode_udp(data[:total], header, source, destination, from_caller)
+    if protocol == PROTOCOL_ICMP:
+        return decode_icmp(data[:total], header, from_caller)
+    raise malformed("protocol")
+
+
+def key_of(
+    protocol: int, source: bytes, destination: bytes, ports: bytes, from_caller: bool
+) -> FlowKey:
+    """Return the flow key from raw header fields of either direction."""
+    prefix = bytes([protocol])
+    if from_caller:
+        return FlowKey(prefix + destination + ports[2:] + source + ports[:2])
+    return FlowKey(prefix + source + ports[:2] + destination + ports[2:])
+
+
+def decode_tcp(
+    data: bytes, header: int, source: bytes, destination: bytes, from_caller: bool
+) -> Packet:
+    """Read a TCP segment."""
+    if len(data) < header + TCP_HEADER_LENGTH:
+        raise malformed("truncated")
+    ports, seq, ack, offset, flags = TCP_HEADER.unpack_from(data, header)
+    start = header + (offset >> 4) * 4
+    if start < header + TCP_HEADER_LENGTH or start > len(data):
+        raise malformed("tcp-header")
+    flow = key_of(PROTOCOL_TCP, source, destination, ports, from_caller)
+    length = len(data) - start
+    if flags & SYN and length and from_caller:
+        data = without_payload(data, start)
+        length = 0
+    return Packet(flow, from_caller, flags, seq, ack, length, data)
+
+
+def decode_udp(
+    data: bytes, header: int, source: bytes, destination: bytes, from_caller: bool
+) -> Packet:
+    """Read a UDP datagram."""
+    ports = data[header : header + PORTS_LENGTH]
+    flow = key_of(PROTOCOL_UDP, source, destination, ports, from_caller)
+    length = len(data) - header - UDP_HEADER_LENGTH
+    return Packet(flow, from_caller, 0, 0, 0, length, data)
+
+
+def decode_icmp(data: bytes, header: int, from_caller: bool) -> Packet:
+    """Read an ICMP destination unreachable, which follows the flow it names."""
+    inner = header + ICMP_HEADER_LENGTH
+    if data[header] != ICMP_UNREACHABLE:
+        raise malformed("icmp")
+    if len(data) < inner + IPV4_HEADER_LENGTH:
+        raise malformed("truncated")
+    first, _, _, protocol, source, destination = IPV4_HEADER.unpack_from(data, inner)
+    ports_at = inner + (first & 0x0F) * 4
+    ports = data[ports_at : ports_at + PORTS_LENGTH]
+    if len(ports) < PORTS_LENGTH or protocol not in (PROTOCOL_TCP, PROTOCOL_UDP):
+        raise malformed("icmp")
+    # The error quotes a packet that went the other way.
+    flow = key_of(protocol, source, destination, ports, not from_caller)
+    return Packet(flow, from_caller, 0, 0, 0, 0, data, unreachable=True)
+
+
+def without_payload(data: bytes, start: int) -> bytes:
+    """Return a TCP segment cut off after its header, with checksums renewed."""
+    packet = dpkt.ip.IP(data[:start])
+    packet.len = start
+    packet.sum = 0
+    packet.data.sum = 0
+    return bytes(packet)
+
+
+def encode_tcp(
+    flow: FlowKey, from_caller: bool, flags: int, seq: int, ack: int, payload: bytes
+) -> bytes:
+    """Build an IPv4 TCP segment of a flow."""
+    service, service_port, caller, caller_port = split_key(flow)
+    segment = dpkt.tcp.TCP(seq=seq, ack=ack, flags=flags, win=65535, data=payload)
+    source, destination = (caller, service) if from_caller else (service, caller)
+    ports = (caller_port, service_port) if from_caller else (service_port, caller_port)
+    segment.sport, segment.dport = ports
+    return build_ip(PROTOCOL_TCP, source, destination, segment)
+
+
+def encode_udp(flow: FlowKey, from_caller: bool, payload: bytes) -> bytes:
+    """Build an IPv4 UDP datagram of a flow."""
+    service, service_port, caller, caller_port = split_key(flow)
+    datagram = dpkt.udp.UDP(data=payload)
+    datagram.ulen = UDP_HEADER_LENGTH + len(payload)
+    source, destination = (caller, service) if from_caller else (service, caller)
+    ports = (caller_port, service_port) if from_caller else (service_port, caller_port)
+    datagram.sport, datagram.dport = ports
+    return build_ip(PROTOCOL_UDP, source, destination, datagram)
+
+
+def build_ip(
+    protocol: int, source: bytes, destination: bytes, body: dpkt.Packet
+) -> bytes:
+    """Build an IPv4 packet; dpkt fills in the checksums."""
+    packet = dpkt.ip.IP(src=source, dst=destination, p=protocol, ttl=64, data=body)
+    packet.len = IPV4_HEADER_LENGTH + len(body)
+    return bytes(packet)
+
+
+def split_key(flow: FlowKey) -> tuple[bytes, int, bytes, int]:
+    """Return service address and port, caller address and port of an IPv4 key."""
+    service_port = int.from_bytes(flow[5:7], "big")
+    caller_port = int.from_bytes(flow[11:13], "big")
+    return flow[1:5], service_port, flow[7:11], caller_port
+
+
+def build_refusal(packet: Packet, text: str) -> bytes:
+    """Build the answer to an opening that was not run.
+
+    A SYN gets a reset whose data says why and when to come back (RFC 9293, 3.5.2);
+    a datagram gets ICMP communication administratively prohibited.
+    """
+    if packet.flow[0] == PROTOCOL_TCP:
+        acknowledged = (packet.seq + 1) & 0xFFFFFFFF
+        flags = RST | ACK
+        return encode_tcp(packet.flow, False, flags, 0, acknowledged, text.encode())
+    quoted = packet.data[: IPV4_HEADER_LENGTH + UDP_HEADER_LENGTH]
+    unreachable = dpkt.icmp.ICMP.Unreach(data=quoted)
+    body = dpkt.icmp.ICMP(
+        type=ICMP_UNREACHABLE, code=ICMP_ADMIN_PROHIBITED, data=unreachable
+    )
+    service, _, caller, _ = split_key(packet.flow)
+    return build_ip(PROTOCOL_ICMP, service, caller, body)
+
+
+def build_reset(opening: Packet) -> bytes:
+    """Build the reset that ends a half-open flow at a target."""
+    seq = (opening.seq + 1) & 0xFFFFFFFF
+    return encode_tcp(opening.flow, True, RST, seq, 0, b"")
+
+
+def pack_endpoint(endpoint: Endpoint | None) -> tuple[bytes, int]:
+    """Return address and port of a tunnel; zeros for none."""
+    if endpoint is None:
+        return bytes(4), 0
+    return socket.inet_aton(endpoint.ip), endpoint.port
+
+
+def unpack_endpoint(address: bytes, port: int) -> Endpoint | None:
+    """Return the endpoint two header fields name; None for zeros."""
+    if port == 0:
+        return None
+    return Endpoint(socket.inet_ntoa(address), port)
+
+
+def encode_relay(frame: RelayFrame) -> bytes:
+    """Build the datagram that hands a packet or binding to another host."""
+    protocol = PROTOCOL_NONE if frame.packet is None else PROTOCOL_IPV4
+    from_caller = 1 if frame.packet is None or frame.packet.from_caller else 0
+    header = RELAY_HEADER.pack(
+        RELAY_WORDS + 1,
+        protocol,
+        0,
+        frame.kind | from_caller << 7,
+        *pack_endpoint(frame.source),
+        *pack_endpoint(frame.target),
+    )
+    body = frame.flow if frame.packet is None else frame.packet.data
+    return header + body
+
+
+def decode_relay(datagram: bytes) -> RelayFrame:
+    """Read a datagram from another host.
+
+    Raises
+    ------
+    MalformedPacketError
+        With the kind under which the datagram is counted.
+    """
+    if len(datagram) < RELAY_HEADER_LENGTH:
+        raise malformed("truncated")
+    words, protocol, _, bits, *endpoints = RELAY_HEADER.unpack_from(datagram)
+    if words != RELAY_WORDS + 1:
+        raise malformed("relay-header")
+    try:
+        kind = RelayKind(bits & 0x7F)
+    except ValueError:
+        raise malformed("relay-kind") from None
+    source = unpack_endpoint(*endpoints[:2])
+    target = unpack_endpoint(*endpoints[2:])
+    body = datagram[RELAY_HEADER_LENGTH:]
+    if protocol == PROTOCOL_IPV4:
+        packet = decode_packet(body, bool(bits >> 7))
+        return RelayFrame(kind, packet.flow, packet, source, target)
+    if protocol != PROTOCOL_NONE or len(body) not in (13, 37):
+        raise malformed("relay-body")
+    return RelayFrame(kind, FlowKey(body), None, source, target)
--- /dev/null
+++ b/citronspring/systems/binding.py
@@ -0,0 +1,83 @@
+"""Binding flows to targets, and the counts that must follow each binding."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from citronspring.tables import FlowRow, FlowState
+
+if TYPE_CHECKING:
+    from citronspring.entities import FlowKey
+    from citronspring.tables import AccountRow, Tables, TargetRow
+
+#: Seconds a closed tuple stays pinned (twice a maximum segment lifetime).
+TIME_WAIT = 60.0
+
+#: Seconds a copy of a TCP binding is kept: second chance finds the flow without it.
+BACKUP_LIFETIME = 300.0
+
+TCP = 6
+
+COUNTED_STATES = (FlowState.OPENING, FlowState.ANSWERED, FlowState.ESTABLISHED)
+
+
+def idle_deadline(flow: FlowKey, account: AccountRow, now: float) -> float:
+    """Return the shared deadline of a flow that was just used."""
+    if now >= account.deadlines_renewed_until:
+        account.renew_deadlines(now)
+    return account.tcp_deadline if flow[0] == TCP else account.udp_deadline
+
+
+def bind(
+    tables: Tables, flow: FlowKey, target: TargetRow, state: FlowState, now: float
+) -> FlowRow:
+    """Bind a flow to a target in a state, replacing any earlier binding."""
+    release(tables, flow)
+    account = target.account
+    deadline = idle_deadline(flow, account, now)
+    if state is FlowState.BACKUP and flow[0] == TCP:
+        deadline = min(deadline, now + BACKUP_LIFETIME)
+    row = FlowRow(target, int(state), deadline, account.refresh_deadline)
+    tables.flows.add(flow, row)
+    if state in COUNTED_STATES:
+        count(row, 1)
+    return row
+
+
+def count(row: FlowRow, step: int) -> None:
+    """Add to the open flows of a row's target and client account."""
+    row.target.flows += step
+    row.target.account.open_flows += step
+
+
+def release(tables: Tables, flow: FlowKey) -> None:
+    """Forget a flow's binding; its key leaves the wheel when its time comes."""
+    row = tables.flows.rows.get(flow)
+    if row is None:
+        return
+    if row.state in COUNTED_STATES:
+        count(row, -1)
+    # The row stays in the table, uncounted, until `FlowTable.add` replaces it or
+    # expiry drops it, so that no key stands in the wheel twice.
+    row.state = FlowState.CLOSING
+
+
+def forget(tables: Tables, flow: FlowKey) -> None:
+    """Drop a flow's row altogether, so that the flow counts as unknown."""
+    release(tables, flow)
+    tables.flows.rows.pop(flow, None)
+    tables.openings.pop(flow, None)
+
+
+def close(tables: Tables, flow: FlowKey, row: FlowRow, now: float) -> None:
+    """End a flow, and pin its tuple through TIME-WAIT.
+
+    A caller that reuses the port at once would otherwise get a new target while
+    an answer of the old one is still under way: another request's answer.
+    """
+    if row.state in COUNTED_STATES:
+        count(row, -1)
+    row.state = FlowState.CLOSING
+    row.deadline = now + TIME_WAIT
+    tables.flows.schedule(flow, row)
+    tables.openings.pop(flow, None)
--- /dev/null
+++ b/citronspring/systems/drain.py
@@ -0,0 +1,33 @@
+"""Leaving: a host that stops hands over its flows and exits by a deadline."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from citronspring.entities import HostState
+from citronspring.messages import Stopped
+
+if TYPE_CHECKING:
+    from citronspring.messages import Action
+    from citronspring.tables import Tables
+
+#: Seconds without a packet after which a leaving host has nothing left to serve.
+QUIET_TIME = 2.0
+
+
+def request_leave(tables: Tables, deadline: float, now: float) -> None:
+    """Start leaving: others stop relaying here, and take over the flows."""
+    if tables.leave_deadline is None:
+        tables.leave_deadline = deadline
+        tables.last_packet_at = now
+        tables.me.state = HostState.LEAVING
+        tables.me.incarnation += 1
+
+
+def check_leaving(tables: Tables, now: float, actions: list[Action]) -> None:
+    """Let the process exit once it is quiet, or its deadline has passed."""
+    if tables.leave_deadline is None:
+        return
+    quiet = now - tables.last_packet_at >= QUIET_TIME
+    if quiet or now >= tables.leave_deadline:
+        actions.append(Stopped())
--- /dev/null
+++ b/citronspring/systems/openings.py
@@ -0,0 +1,225 @@
+"""Openings: placing new flows, trying another target, refusing at once."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from citronspring.messages import (
+    Packet,
+    RefusalReason,
+    Refuse,
+    Relay,
+    RelayKind,
+    ResetTarget,
+    SendToTarget,
+)
+from citronspring.systems.binding import bind, forget
+from citronspring.systems.placement import choose_target
+from citronspring.tables import FlowState, OpeningRow, TargetRow
+
+if TYPE_CHECKING:
+    from citronspring.entities import FlowKey
+    from citronspring.messages import Action
+    from citronspring.tables import AccountRow, FlowRow, Tables
+
+#: Seconds a target has to answer a SYN before another is tried.
+ATTEMPT_TIMEOUT = 0.75
+
+#: Seconds a target's refusal of a first datagram is waited for.
+DATAGRAM_ATTEMPT_TIMEOUT = 1.0
+
+#: Seconds after which a refused caller is told to come back, where the reason
+#: itself does not say when.
+RETRY_AFTER = 2.0
+
+#: New flows a client account may open at once beyond its rate, in seconds of rate.
+BURST_SECONDS = 1.0
+
+#: Retries a client account can save up.
+RETRY_BALANCE_MAX = 100.0
+
+TCP = 6
+
+
+def group_share(tables: Tables) -> float:
+    """Return the share of an account's limits that this owner enforces.
+
+    Ownership is a uniform share of flows, so each owner holds its part of a limit
+    without asking the others.
+    """
+    return 1.0 / max(1, len(tables.ring.members))
+
+
+def admit(
+    tables: Tables, account: AccountRow, now: float
+) -> tuple[RefusalReason, float] | None:
+    """Count one opening against the account; return why and until when not."""
+    limits = account.account.limits
+    if len(tables.flows.rows) >= tables.max_flows:
+        return RefusalReason.TABLE_FULL, now + RETRY_AFTER
+    share = group_share(tables)
+    if account.open_flows + 1 > max(1.0, limits.max_connections * share):
+        return RefusalReason.ACCOUNT_CONNECTIONS, now + RETRY_AFTER
+    rate = limits.new_per_second * share
+    burst = max(1.0, rate * BURST_SECONDS)
+    if not account.openings.admit(now, rate, burst):
+        retry_at = account.openings.retry_at(rate, burst)
+        return RefusalReason.ACCOUNT_RATE, max(now, retry_at)
+    account.retry_balance = min(
+        RETRY_BALANCE_MAX, account.retry_balance + limits.retry_ratio
+    )
+    return None
+
+
+def open_flow(
+    tables: Tables,
+    account: AccountRow,
+    packet: Packet,
+    now: float,
+    actions: list[Action],
+) -> None:
+    """Place a new flow on a target, or refuse it at once."""
+    refused = admit(tables, account, now)
+    if refused is not None:
+        actions.append(refuse(tables, packet, *refused))
+        return
+    chosen = choose_target(tables, packet.flow, account, [], now)
+    if isinstance(chosen, RefusalReason):
+        actions.append(refuse(tables, packet, chosen, now + RETRY_AFTER))
+        return
+    tables.counters["opened"] += 1
+    bind(tables, packet.flow, chosen, FlowState.OPENING, now)
+    timeout = ATTEMPT_TIMEOUT if packet.flow[0] == TCP else DATAGRAM_ATTEMPT_TIMEOUT
+    deadline = now + account.account.limits.opening_timeout
+    tables.openings[packet.flow] = OpeningRow(packet, [chosen], now + timeout, deadline)
+    forward_by_second(tables, chosen, packet, actions)
+
+
+def refuse(
+    tables: Tables, packet: Packet, reason: RefusalReason, retry_at: float
+) -> Refuse:
+    """Return the final answer to an opening of which nothing was run."""
+    tables.counters[f"refused.{reason.value}"] += 1
+    return Refuse(packet, reason, retry_at)
+
+
+def forward_by_second(
+    tables: Tables, target: TargetRow, packet: Packet, actions: list[Action]
+) -> None:
+    """Send a packet to its target by way of the second-ranked host.
+
+    The packet itself carries the binding there, so that the host which owns the
+    flow once this one is gone knows it, without a control message.
+    """
+    owner, second = tables.ring.pair(packet.flow)
+    if owner != tables.host_id or second is None:
+        actions.append(SendToTarget(target.target.target_id, packet))
+        return
+    actions.append(
+        Relay(
+            RelayKind.PROPOSE,
+            second,
+            packet.flow,
+            packet,
+            target_id=target.target.target_id,
+        )
+    )
+
+
+def retry_opening(
+    tables: Tables,
+    flow: FlowKey,
+    opening: OpeningRow,
+    reason: RefusalReason,
+    now: float,
+    actions: list[Action],
+) -> None:
+    """Try another target for an opening, or give the caller its final answer."""
+    account = opening.tried[-1].account
+    if account.retry_balance < 1.0:
+        give_up(tables, flow, opening, RefusalReason.RETRIES_SPENT, now, actions)
+        return
+    chosen = choose_target(tables, flow, account, opening.tried, now)
+    if isinstance(chosen, RefusalReason):
+        give_up(tables, flow, opening, reason, now, actions)
+        return
+    account.retry_balance -= 1.0
+    tables.counters["retried"] += 1
+    bind(tables, flow, chosen, FlowState.OPENING, now)
+    opening.tried.append(chosen)
+    opening.attempt_deadline = now + ATTEMPT_TIMEOUT
+    opening.sent = 1
+    forward_by_second(tables, chosen, opening.packet, actions)
+
+
+def give_up(
+    tables: Tables,
+    flow: FlowKey,
+    opening: OpeningRow,
+    reason: RefusalReason,
+    now: float,
+    actions: list[Action],
+) -> None:
+    """Refuse an opening that no target took; nothing of its data was sent on."""
+    forget(tables, flow)
+    actions.append(refuse(tables, opening.packet, reason, now + RETRY_AFTER))
+
+
+def note_refusal(row: TargetRow) -> None:
+    """Count an opening that a target refused or left unanswered."""
+    row.failures += 1
+
+
+def target_reset_opening(
+    tables: Tables, flow: FlowKey, row: FlowRow, now: float, actions: list[Action]
+) -> None:
+    """A target answered a SYN with a reset: it ran nothing, so try another."""
+    opening = tables.openings[flow]
+    note_refusal(row.target)
+    retry_opening(tables, flow, opening, RefusalReason.NO_HEALTHY_TARGET, now, actions)
+
+
+def expire_openings(tables: Tables, now: float, actions: list[Action]) -> None:
+    """Move openings away from targets that do not answer; refuse the overdue."""
+    for flow, opening in list(tables.openings.items()):
+        if min(opening.attempt_deadline, opening.deadline) > now:
+            continue
+        if flow[0] != TCP or opening.answer_seq is not None:
+            settle_opening(tables, flow, opening, now)
+        else:
+            abandon_attempt(tables, flow, opening, now, actions)
+
+
+def settle_opening(
+    tables: Tables, flow: FlowKey, opening: OpeningRow, now: float
+) -> None:
+    """Stop watching an opening that was answered, or a datagram that was taken."""
+    if flow[0] == TCP and opening.deadline > now:
+        return
+    row = tables.flows.rows.get(flow)
+    if row is not None and row.state == FlowState.OPENING:
+        row.state = FlowState.ESTABLISHED
+    del tables.openings[flow]
+
+
+def abandon_attempt(
+    tables: Tables,
+    flow: FlowKey,
+    opening: OpeningRow,
+    now: float,
+    actions: list[Action],
+) -> None:
+    """Leave a target that did not answer a SYN.
+
+    The target gets a reset first: a SYN that was only late would otherwise open
+    there after the caller was refused, or beside the flow at another target.
+    """
+    current = opening.tried[-1]
+    note_refusal(current)
+    actions.append(ResetTarget(current.target.target_id, opening.packet))
+    if opening.deadline <= now:
+        reason = RefusalReason.OPENING_TIMEOUT
+        give_up(tables, flow, opening, reason, now, actions)
+        return
+    reason = RefusalReason.OPENING_TIMEOUT
+    retry_opening(tables, flow, opening, reason, now, actions)
--- /dev/null
+++ b/citronspring/systems/revisions.py
@@ -0,0 +1,109 @@
+"""Revisions: applying configuration, which only ever moves forward."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from citronspring.rendezvous import service_key
+from citronspring.systems.binding import forget
+from citronspring.tables import AccountRow, TargetRow
+
+if TYPE_CHECKING:
+    from citronspring.entities import Account, ChangeRecord, Snapshot, Target
+    from citronspring.tables import Tables
+
+#: Seconds a new target waits before new flows are placed on it. By then every
+#: connected host knows it, so that none takes its flows for lost.
+PLACEMENT_DELAY = 4.0
+
+
+def apply_snapshot(tables: Tables, snapshot: Snapshot, now: float) -> bool:
+    """Take a whole configuration if it is newer; return whether it was."""
+    if snapshot.revision <= tables.revision:
+        tables.counters["revisions.old"] += 1
+        return False
+    first = tables.revision == 0
+    named = {account.account_id for account in snapshot.accounts}
+    for account_id in tables.accounts.keys() - named:
+        remove_account(tables, account_id)
+    for account in snapshot.accounts:
+        put_account(tables, account, now if first else now + PLACEMENT_DELAY)
+    note_revision(tables, snapshot.revision)
+    return True
+
+
+def apply_records(
+    tables: Tables, records: tuple[ChangeRecord, ...], now: float
+) -> bool:
+    """Apply records that follow on this revision; return False at a gap."""
+    for record in sorted(records, key=lambda item: item.revision):
+        if record.revision <= tables.revision:
+            continue
+        if record.revision > tables.revision + 1:
+            return False
+        if record.account is None:
+            remove_account(tables, record.account_id)
+        else:
+            put_account(tables, record.account, now + PLACEMENT_DELAY)
+        note_revision(tables, record.revision)
+    return True
+
+
+def note_revision(tables: Tables, revision: int) -> None:
+    """Move this host's revision up."""
+    tables.revision = revision
+    tables.me.revision = revision
+
+
+def put_account(tables: Tables, account: Account, placeable_from: float) -> None:
+    """Add or replace a client account, keeping the counts of what stays."""
+    row = tables.accounts.get(account.account_id)
+    if row is None:
+        row = AccountRow(account)
+        tables.accounts[account.account_id] = row
+    for address in row.account.addresses:
+        tables.services.pop(service_key(address), None)
+    row.account = account
+    row.deadlines_renewed_until = -1.0
+    for address in account.addresses:
+        tables.services[service_key(address)] = row
+    put_targets(tables, row, account.targets, placeable_from)
+
+
+def put_targets(
+    tables: Tables,
+    row: AccountRow,
+    targets: tuple[Target, ...],
+    placeable_from: float,
+) -> None:
+    """Bring the rows of an account's targets in line with its configuration."""
+    named = {target.target_id for target in targets}
+    for gone in [old for old in row.targets if old.target.target_id not in named]:
+        remove_target(tables, gone)
+    for target in targets:
+        existing = tables.targets.get(target.target_id)
+        if existing is None:
+            existing = TargetRow.from_target(target, row)
+            existing.placeable_from = placeable_from
+            tables.targets[target.target_id] = existing
+            row.targets.append(existing)
+        existing.target = target
+    row.targets.sort(key=lambda item: item.target.target_id)
+
+
+def remove_target(tables: Tables, gone: TargetRow) -> None:
+    """Forget a target that was removed for good, and the flows bound to it."""
+    tables.targets.pop(gone.target.target_id, None)
+    gone.account.targets.remove(gone)
+    bound = [flow for flow, row in tables.flows.rows.items() if row.target is gone]
+    for flow in bound:
+        forget(tables, flow)
+
+
+def remove_account(tables: Tables, account_id: str) -> None:
+    """Forget a client account with its addresses, targets and flows."""
+    row = tables.accounts.pop(account_id)
+    for address in row.account.addresses:
+        tables.services.pop(service_key(address), None)
+    for target in list(row.targets):
+        remove_target(tables, target)
