--- /dev/null
+++ b/citronspring/standins/network.py
@@ -0,0 +1,299 @@
+"""A small in-memory network in virtual time: real cores, stand-in ends.
+
+A fixture for tests, benchmarks and histories. Everything is seeded; nothing reads
+a clock. Packets between two places take a random delay, and may be lost,
+duplicated or cut.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from citronspring.messages import (
+    ACK,
+    RST,
+    ControlReceived,
+    Drop,
+    Packet,
+    PacketReceived,
+    Refuse,
+    Relay,
+    RelayReceived,
+    ResetTarget,
+    SendControl,
+    SendToCaller,
+    SendToTarget,
+    Stopped,
+)
+from citronspring.standins.stacks import CallerStack, TargetStack
+from citronspring.standins.tcp import Segment
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from citronspring.balancer import Balancer
+    from citronspring.entities import FlowKey
+    from citronspring.messages import Action
+    from citronspring.standins.service import Request
+
+#: Where callers and the fabric are.
+FABRIC = "fabric"
+
+#: Seconds between two ticks of cores and ends.
+TICK = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class LinkQuality:
+    """How packets between two places fare."""
+
+    shortest: float = 0.0005
+    longest: float = 0.003
+    loss: float = 0.0
+    duplication: float = 0.0
+
+
+@dataclass(slots=True)
+class Network:
+    """Hosts, targets and callers, and the time that passes between them."""
+
+    rng: random.Random
+    quality: LinkQuality = field(default_factory=LinkQuality)
+    now: float = 0.0
+    queue: list[tuple[float, int, Callable[[], None]]] = field(default_factory=list)
+    serial: itertools.count[int] = field(default_factory=itertools.count)
+    hosts: dict[str, Balancer] = field(default_factory=dict)
+    targets: dict[str, TargetStack] = field(default_factory=dict)
+    callers: CallerStack = field(init=False)
+    #: Hosts the fabric sprays packets over; lags behind what is true.
+    sprayed: list[str] = field(default_factory=list)
+    #: Chooses the receiving host of a packet; random unless a run sets another.
+    spray: Callable[[FlowKey], str] = field(init=False)
+    #: Zone of each place, for cuts; places without a zone are never cut off.
+    zones: dict[str, str] = field(default_factory=dict)
+    #: Pairs of zones between which nothing passes.
+    cuts: set[frozenset[str]] = field(default_factory=set)
+    #: Places that neither send nor receive until they wake; packets wait.
+    frozen: set[str] = field(default_factory=set)
+    waiting: dict[str, list[Callable[[], None]]] = field(default_factory=dict)
+    #: Called with each action of a host, for histories and counts.
+    observers: list[Callable[[str, Action], None]] = field(default_factory=list)
+    #: Handles actions that are neither packets nor control messages.
+    perform_other: Callable[[str, Action], None] | None = None
+    stopped: set[str] = field(default_factory=set)
+
+    def __post_init__(self) -> None:
+        self.callers = CallerStack(self.rng)
+        self.spray = lambda flow: self.rng.choice(self.sprayed)
+        self.after(TICK, self.tick)
+
+    def after(self, delay: float, action: Callable[[], None]) -> None:
+        """Run something later in virtual time."""
+        heapq.heappush(self.queue, (self.now + delay, next(self.serial), action))
+
+    def run_until(self, end: float) -> None:
+        """Let virtual time pass."""
+        while self.queue and self.queue[0][0] <= end:
+            self.now, _, action = heapq.heappop(self.queue)
+            action()
+        self.now = end
+
+    def tick(self) -> None:
+        """Tick every core and every end that is awake."""
+        for host_id, core in list(self.hosts.items()):
+            if host_id not in self.frozen:
+                self.perform(host_id, core.tick(self.now))
+        for target_id, stack in list(self.targets.items()):
+            if target_id not in self.frozen:
+                self.send_answers(target_id, stack.tick(self.now))
+        self.send_calls(self.callers.tick(self.now))
+        self.after(TICK, self.tick)
+
+    # Places -------------------------------------------------------------------
+
+    def add_host(self, core: Balancer) -> None:
+        """Add a host; the fabric sprays to it from now on."""
+        tables = core.tables
+        self.hosts[tables.host_id] = core
+        self.zones[tables.host_id] = tables.zone
+        self.sprayed.append(tables.host_id)
+
+    def kill_host(self, host_id: str) -> None:
+        """Lose a host and all it knew, at once."""
+        self.hosts.pop(host_id, None)
+        self.frozen.discard(host_id)
+        self.waiting.pop(host_id, None)
+
+    def add_target(
+        self, target_id: str, zone: str, on_run: Callable[[Request], None]
+    ) -> TargetStack:
+        """Add a target's kernel and server."""
+        stack = TargetStack(self.rng, on_run)
+        self.targets[target_id] = stack
+        self.zones[target_id] = zone
+        return stack
+
+    def freeze(self, place: str) -> None:
+        """Stop a host or target without ending it; what arrives waits."""
+        self.frozen.add(place)
+
+    def wake(self, place: str) -> None:
+        """Let a frozen place go on, with all that waited for it."""
+        self.frozen.discard(place)
+        for action in self.waiting.pop(place, []):
+            action()
+
+    def connected(self, source: str, destination: str) -> bool:
+        """Whether packets pass between two places."""
+        zones = self.zones.get(source), self.zones.get(destination)
+        return None in zones or frozenset(map(str, zones)) not in self.cuts
+
+    def carry(self, source: str, destination: str, deliver: Callable[[], None]) -> None:
+        """Take something from one place to another, as the link fares."""
+        if not self.connected(source, destination):
+            return
+        if self.rng.random() < self.quality.loss:
+            return
+        copies = 1 + (self.rng.random() < self.quality.duplication)
+        for _ in range(copies):
+            delay = self.rng.uniform(self.quality.shortest, self.quality.longest)
+            self.after(delay, lambda: self.arrive(destination, deliver))
+
+    def arrive(self, place: str, deliver: Callable[[], None]) -> None:
+        """Deliver, unless the place is frozen: then when it wakes."""
+        if place in self.frozen:
+            self.waiting.setdefault(place, []).append(deliver)
+        else:
+            deliver()
+
+    # Packets ------------------------------------------------------------------
+
+    def call(self, flow: FlowKey, request: Request) -> None:
+        """Start a request from a caller."""
+        self.send_calls(self.callers.open(flow, request, self.now))
+
+    def send_calls(self, outgoing: list[tuple[FlowKey, Segment]]) -> None:
+        """Spray callers' segments over the hosts."""
+        for flow, segment in outgoing:
+            packet = packet_of(flow, segment, from_caller=True)
+            self.to_any_host(FABRIC, PacketReceived(packet), flow)
+
+    def send_answers(
+        self, target_id: str, outgoing: list[tuple[FlowKey, Segment]]
+    ) -> None:
+        """Spray a target's segments over the hosts."""
+        for flow, segment in outgoing:
+            packet = packet_of(flow, segment, from_caller=False)
+            self.to_any_host(target_id, PacketReceived(packet, target_id), flow)
+
+    def to_any_host(self, source: str, event: PacketReceived, flow: FlowKey) -> None:
+        """Hand a packet to the host the fabric picks."""
+        if self.sprayed:
+            host_id = self.spray(flow)
+            self.carry(source, host_id, lambda: self.give(host_id, event))
+
+    def give(self, host_id: str, event: object) -> None:
+        """Give a host an event, if it lives."""
+        core = self.hosts.get(host_id)
+        if core is not None:
+            self.perform(host_id, core.receive(event, self.now))  # type: ignore[arg-type]
+
+    def perform(self, host_id: str, actions: list[Action]) -> None:
+        """Do what a core asks for."""
+        for action in actions:
+            for observer in self.observers:
+                observer(host_id, action)
+            self.perform_one(host_id, action)
+
+    def perform_one(self, host_id: str, action: Action) -> None:
+        """Do one thing a core asks for."""
+        match action:
+            case SendToTarget():
+                self.to_target(host_id, action.target_id, action.packet)
+            case SendToCaller():
+                self.to_caller(host_id, action.packet)
+            case Relay():
+                self.relay(host_id, action)
+            case Refuse():
+                self.refuse(host_id, action)
+            case ResetTarget():
+                opening = action.packet
+                reset = Segment(RST, (opening.seq + 1) & 0xFFFFFFFF, 0)
+                packet = packet_of(opening.flow, reset, from_caller=True)
+                self.to_target(host_id, action.target_id, packet)
+            case SendControl():
+                event = ControlReceived(host_id, action.message)
+                peer = action.host_id
+                self.carry(host_id, peer, lambda: self.give(peer, event))
+            case Stopped():
+                self.stopped.add(host_id)
+            case Drop():
+                pass
+            case _:
+                if self.perform_other is not None:
+                    self.perform_other(host_id, action)
+
+    def to_target(self, host_id: str, target_id: str, packet: Packet) -> None:
+        """Carry a packet through a target's tunnel."""
+
+        def deliver() -> None:
+            stack = self.targets.get(target_id)
+            if stack is not None:
+                segment = segment_of(packet)
+                answers = stack.receive(packet.flow, segment, self.now)
+                self.send_answers(target_id, answers)
+
+        self.carry(host_id, target_id, deliver)
+
+    def to_caller(self, host_id: str, packet: Packet) -> None:
+        """Carry an answer to its caller."""
+
+        def deliver() -> None:
+            segment = segment_of(packet)
+            calls = self.callers.receive(packet.flow, segment, self.now)
+            self.send_calls(calls)
+
+        self.carry(host_id, FABRIC, deliver)
+
+    def refuse(self, host_id: str, action: Refuse) -> None:
+        """Carry a refusal to its caller."""
+        opening = action.packet
+        text = f"{action.reason.value} {action.retry_at:.1f}".encode()
+        refusal = Segment(RST | ACK, 0, (opening.seq + 1) & 0xFFFFFFFF, text)
+        packet = packet_of(opening.flow, refusal, from_caller=False)
+        self.to_caller(host_id, packet)
+
+    def relay(self, host_id: str, action: Relay) -> None:
+        """Carry a relayed packet or binding to another host."""
+        event = RelayReceived(
+            action.kind,
+            host_id,
+            action.flow,
+            action.packet,
+            action.source,
+            action.target_id,
+        )
+        peer = action.host_id
+        self.carry(host_id, peer, lambda: self.give(peer, event))
+
+
+def packet_of(flow: FlowKey, segment: Segment, from_caller: bool) -> Packet:
+    """Return the typed packet of a segment; its data is the payload alone."""
+    return Packet(
+        flow,
+        from_caller,
+        segment.flags,
+        segment.seq,
+        segment.ack,
+        len(segment.payload),
+        segment.payload,
+    )
+
+
+def segment_of(packet: Packet) -> Segment:
+    """Return the segment of a packet made by `packet_of`."""
+    return Segment(packet.flags, packet.seq, packet.ack, packet.data)
--- /dev/null
+++ b/citronspring/standins/service.py
@@ -0,0 +1,207 @@
+"""The service that stand-in targets run and stand-in callers ask for.
+
+A request is one connection: a header line, for uploads a body, then the answer.
+Each answer names its request, so that another request's answer shows.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+from functools import lru_cache
+from typing import TYPE_CHECKING
+
+from xxhash import xxh64_digest, xxh64_hexdigest
+
+from citronspring.standins.tcp import Ending, State
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from citronspring.standins.tcp import Connection
+
+
+class RequestKind(Enum):
+    """What a caller asks for."""
+
+    #: Caller sends a long body, target answers with its digest.
+    UPLOAD = "UPLOAD"
+    #: Target streams a long body.
+    PREVIEW = "PREVIEW"
+    #: Non-idempotent: must run at most once.
+    CORRECTION = "CORRECTION"
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """One request of a caller."""
+
+    request_id: str
+    kind: RequestKind
+    #: Bytes of the body that is uploaded or streamed.
+    size: int
+    #: Bytes a second at which the body goes.
+    rate: float
+
+    def header(self) -> bytes:
+        """Return the request line."""
+        fields = (self.kind.value, self.request_id, self.size, self.rate)
+        return " ".join(map(str, fields)).encode() + b"\n"
+
+    @classmethod
+    def from_header(cls, line: bytes) -> Request:
+        """Read a request line."""
+        kind, request_id, size, rate = line.decode().split()
+        return cls(request_id, RequestKind(kind), int(size), float(rate))
+
+
+def body_of(request: Request) -> bytes:
+    """Return the body of a request, made from its id."""
+    block = xxh64_digest(request.request_id.encode())
+    return (block * (request.size // len(block) + 1))[: request.size]
+
+
+@lru_cache(maxsize=4096)
+def expected_answer(request: Request) -> bytes:
+    """Return the whole answer to a request."""
+    done = f"DONE {request.request_id} {xxh64_hexdigest(body_of(request))}\n"
+    if request.kind is RequestKind.PREVIEW:
+        return body_of(request) + done.encode()
+    return done.encode()
+
+
+@dataclass(slots=True)
+class PacedBody:
+    """A body that is sent at a rate."""
+
+    data: bytes
+    rate: float
+    started_at: float
+    sent: int = 0
+
+    def take(self, now: float) -> bytes:
+        """Return the bytes that are due and not yet sent."""
+        due = min(len(self.data), int((now - self.started_at) * self.rate))
+        chunk = self.data[self.sent : due]
+        self.sent = max(self.sent, due)
+        return chunk
+
+    @property
+    def finished(self) -> bool:
+        """Whether all of the body was handed out."""
+        return self.sent == len(self.data)
+
+
+@dataclass(slots=True, eq=False)
+class ServerSession:
+    """The target's side of one request."""
+
+    #: Called once with the request when it runs.
+    on_run: Callable[[Request], None]
+    request: Request | None = None
+    stream: PacedBody | None = None
+    answered: bool = False
+
+    def advance(self, connection: Connection, now: float) -> None:
+        """Do what the bytes received so far allow."""
+        if self.request is None and not self.read_header(connection, now):
+            return
+        assert self.request is not None
+        if self.stream is not None:
+            chunk = self.stream.take(now)
+            if chunk:
+                connection.send(chunk, now)
+        if not self.answered and self.body_complete(connection):
+            self.answer(connection, now)
+
+    def read_header(self, connection: Connection, now: float) -> bool:
+        """Read the request line once it is whole."""
+        line, newline, rest = bytes(connection.received).partition(b"\n")
+        if not newline:
+            return False
+        connection.received[:] = rest
+        self.request = Request.from_header(line)
+        if self.request.kind is RequestKind.PREVIEW:
+            body = body_of(self.request)
+            self.stream = PacedBody(body, self.request.rate, now)
+        return True
+
+    def body_complete(self, connection: Connection) -> bool:
+        """Whether the request can be answered."""
+        assert self.request is not None
+        if self.stream is not None:
+            return self.stream.finished
+        if self.request.kind is RequestKind.UPLOAD:
+            return len(connection.received) >= self.request.size
+        return True
+
+    def answer(self, connection: Connection, now: float) -> None:
+        """Run the request and send the answer's last line."""
+        assert self.request is not None
+        self.answered = True
+        self.on_run(self.request)
+        digest = xxh64_hexdigest(body_of(self.request))
+        if self.request.kind is RequestKind.UPLOAD:
+            digest = xxh64_hexdigest(bytes(connection.received))
+        line = f"DONE {self.request.request_id} {digest}\n"
+        connection.send(line.encode(), now)
+        connection.close(now)
+
+
+class Outcome(Enum):
+    """What a caller got."""
+
+    WHOLE = "whole"
+    #: Told that nothing was run.
+    REFUSED = "refused"
+    #: The connection broke after it was established, or never answered.
+    BROKEN = "broken"
+    #: An answer that is not the caller's own.
+    WRONG = "wrong"
+
+
+@dataclass(slots=True, eq=False)
+class CallerSession:
+    """The caller's side of one request."""
+
+    request: Request
+    body: PacedBody | None = None
+    started: bool = False
+    outcome: Outcome | None = None
+    #: Text that came with a refusal.
+    refusal: str = ""
+    log: list[str] = field(default_factory=list)
+
+    def advance(self, connection: Connection, now: float) -> None:
+        """Send what is due and judge what came."""
+        if self.outcome is not None:
+            return
+        if connection.state is State.ESTABLISHED:
+            self.send_due(connection, now)
+        expected = len(expected_answer(self.request))
+        if len(connection.received) >= expected:
+            self.judge(connection, now)
+        elif connection.ending is Ending.REFUSED:
+            self.outcome = Outcome.REFUSED
+            self.refusal = connection.refusal.decode()
+        elif connection.ending is not None:
+            self.outcome = Outcome.BROKEN
+            self.log.append(connection.ending.value)
+
+    def send_due(self, connection: Connection, now: float) -> None:
+        """Send the header, then the body at its rate."""
+        if not self.started:
+            self.started = True
+            connection.send(self.request.header(), now)
+            if self.request.kind is RequestKind.UPLOAD:
+                self.body = PacedBody(body_of(self.request), self.request.rate, now)
+        if self.body is not None:
+            chunk = self.body.take(now)
+            if chunk:
+                connection.send(chunk, now)
+
+    def judge(self, connection: Connection, now: float) -> None:
+        """Compare the answer with the one that belongs to the request."""
+        own = bytes(connection.received) == expected_answer(self.request)
+        self.outcome = Outcome.WHOLE if own else Outcome.WRONG
+        connection.close(now)
--- /dev/null
+++ b/citronspring/standins/stacks.py
@@ -0,0 +1,144 @@
+"""The stand-in kernels of a target and of a caller: connections by flow."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from citronspring.messages import ACK, RST, SYN
+from citronspring.standins.service import CallerSession, ServerSession
+from citronspring.standins.tcp import Connection, Segment, State, reset_for
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from citronspring.entities import FlowKey
+    from citronspring.standins.service import Request
+
+#: Seconds a closed connection still acknowledges the other side's FIN.
+LINGER = 5.0
+
+MAX_SEQUENCE = 0xFFFFFFFF
+
+#: A flow and a segment to send on it.
+Outgoing = tuple["FlowKey", Segment]
+
+
+@dataclass(slots=True, eq=False)
+class TargetStack:
+    """A target's kernel and server."""
+
+    rng: random.Random
+    #: Called with each request that runs.
+    on_run: Callable[[Request], None]
+    connections: dict[FlowKey, Connection] = field(default_factory=dict)
+    sessions: dict[FlowKey, ServerSession] = field(default_factory=dict)
+    #: Closed connections by flow, and when they are forgotten.
+    forget_at: dict[FlowKey, float] = field(default_factory=dict)
+    #: Answers every SYN with a reset while set.
+    shedding: bool = False
+    #: SYNs seen, to tell whether a leaving target gets new work.
+    accepted_at: list[float] = field(default_factory=list)
+
+    def receive(self, flow: FlowKey, segment: Segment, now: float) -> list[Outgoing]:
+        """Handle a segment; return what to send."""
+        connection = self.connections.get(flow)
+        opening = segment.flags & SYN and not segment.flags & ACK
+        if opening and (connection is None or connection.state is State.CLOSED):
+            return self.open(flow, segment, now)
+        if connection is None:
+            if segment.flags & RST:
+                return []
+            return [(flow, reset_for(segment))]
+        connection.receive(segment, now)
+        return self.advance(flow, connection, now)
+
+    def open(self, flow: FlowKey, segment: Segment, now: float) -> list[Outgoing]:
+        """Accept a connection, or shed it."""
+        if self.shedding:
+            return [(flow, reset_for(segment))]
+        first_seq = self.rng.randint(0, MAX_SEQUENCE)
+        connection = Connection.accept(segment, first_seq, now)
+        self.connections[flow] = connection
+        self.sessions[flow] = ServerSession(self.on_run)
+        self.forget_at.pop(flow, None)
+        self.accepted_at.append(now)
+        return [(flow, item) for item in connection.take_outbox()]
+
+    def advance(
+        self, flow: FlowKey, connection: Connection, now: float
+    ) -> list[Outgoing]:
+        """Let the server act and collect what is to be sent."""
+        if connection.state is State.ESTABLISHED:
+            self.sessions[flow].advance(connection, now)
+        elif connection.state is State.CLOSED:
+            self.forget_at.setdefault(flow, now + LINGER)
+        return [(flow, item) for item in connection.take_outbox()]
+
+    def tick(self, now: float) -> list[Outgoing]:
+        """Run timers and paced streams."""
+        outgoing: list[Outgoing] = []
+        for flow, connection in list(self.connections.items()):
+            connection.tick(now)
+            outgoing += self.advance(flow, connection, now)
+        for flow in [key for key, due in self.forget_at.items() if due <= now]:
+            del self.forget_at[flow]
+            del self.connections[flow]
+            del self.sessions[flow]
+        return outgoing
+
+    @property
+    def open_count(self) -> int:
+        """Connections that are not closed."""
+        return sum(item.state is not State.CLOSED for item in self.connections.values())
+
+
+@dataclass(slots=True, eq=False)
+class CallerStack:
+    """A caller's kernel and the requests it makes."""
+
+    rng: random.Random
+    connections: dict[FlowKey, Connection] = field(default_factory=dict)
+    sessions: dict[FlowKey, CallerSession] = field(default_factory=dict)
+    #: Closed connections by flow, and when they are forgotten.
+    forget_at: dict[FlowKey, float] = field(default_factory=dict)
+
+    def open(self, flow: FlowKey, request: Request, now: float) -> list[Outgoing]:
+        """Start a request on a new connection."""
+        first_seq = self.rng.randint(0, MAX_SEQUENCE)
+        connection = Connection.connect(first_seq, now)
+        self.connections[flow] = connection
+        self.sessions[flow] = CallerSession(request)
+        self.forget_at.pop(flow, None)
+        return [(flow, item) for item in connection.take_outbox()]
+
+    def receive(self, flow: FlowKey, segment: Segment, now: float) -> list[Outgoing]:
+        """Handle a segment; return what to send."""
+        connection = self.connections.get(flow)
+        if connection is None:
+            if segment.flags & RST:
+                return []
+            return [(flow, reset_for(segment))]
+        connection.receive(segment, now)
+        return self.advance(flow, connection, now)
+
+    def advance(
+        self, flow: FlowKey, connection: Connection, now: float
+    ) -> list[Outgoing]:
+        """Let the request go on and collect what is to be sent."""
+        self.sessions[flow].advance(connection, now)
+        if connection.state is State.CLOSED:
+            self.forget_at.setdefault(flow, now + LINGER)
+        return [(flow, item) for item in connection.take_outbox()]
+
+    def tick(self, now: float) -> list[Outgoing]:
+        """Run timers and paced uploads."""
+        outgoing: list[Outgoing] = []
+        for flow, connection in list(self.connections.items()):
+            connection.tick(now)
+            outgoing += self.advance(flow, connection, now)
+        for flow in [key for key, due in self.forget_at.items() if due <= now]:
+            del self.forget_at[flow]
+            del self.connections[flow]
+        return outgoing
