--- /dev/null
+++ b/citronspring/application.py
@@ -0,0 +1,40 @@
+"""The application object: wires parts together through named events."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import TYPE_CHECKING, Any
+
+from citronspring.errors import CitronspringError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+#: Events a part may listen to, and the arguments each listener gets.
+EVENTS = {
+    "started": "no argument",
+    "packet-dropped": "kind: str",
+    "action": "action: Action that is neither a packet nor a relay",
+    "revision-applied": "revision: int",
+    "leaving": "deadline: float",
+    "stopped": "no argument",
+}
+
+
+class Application:
+    """Named events and their listeners."""
+
+    def __init__(self) -> None:
+        self.listeners: dict[str, list[Callable[..., None]]] = defaultdict(list)
+
+    def connect(self, event: str, listener: Callable[..., None]) -> None:
+        """Have a listener called whenever an event is emitted."""
+        if event not in EVENTS:
+            known = ", ".join(sorted(EVENTS))
+            raise CitronspringError(f"no event {event!r}", f"use one of {known}")
+        self.listeners[event].append(listener)
+
+    def emit(self, event: str, *args: Any) -> None:
+        """Call the listeners of an event in the order they were connected."""
+        for listener in self.listeners[event]:
+            listener(*args)
--- /dev/null
+++ b/citronspring/daemons/sockets.py
@@ -0,0 +1,62 @@
+"""Batched UDP sockets on anyio's readiness."""
+
+from __future__ import annotations
+
+import socket
+from typing import TYPE_CHECKING
+
+import anyio
+
+from citronspring.packets import MAX_DATAGRAM
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from citronspring.entities import Endpoint
+
+#: Datagrams read for one wake-up of the event loop. One read a wake-up loses most
+#: of a burst; many more would starve the other sockets.
+BATCH = 64
+
+#: Kernel buffer asked for, bytes; holds a burst while another task runs.
+RECEIVE_BUFFER = 8 * 1024 * 1024
+
+#: An outer source address and port.
+Source = tuple[str, int]
+
+
+def bind_udp(endpoint: Endpoint) -> socket.socket:
+    """Return a non-blocking UDP socket bound to an endpoint."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sock.setblocking(False)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
+    sock.bind((endpoint.ip, endpoint.port))
+    return sock
+
+
+async def receive_forever(
+    sock: socket.socket, handle: Callable[[bytes, Source], None]
+) -> None:
+    """Give every datagram to a handler, in batches."""
+    while True:
+        await anyio.wait_readable(sock)
+        receive_batch(sock, handle)
+
+
+def receive_batch(sock: socket.socket, handle: Callable[[bytes, Source], None]) -> None:
+    """Read up to a batch of datagrams that have arrived."""
+    for _ in range(BATCH):
+        try:
+            datagram, source = sock.recvfrom(MAX_DATAGRAM)
+        except (BlockingIOError, ConnectionRefusedError):
+            return
+        handle(datagram, source)
+
+
+def send(sock: socket.socket, datagram: bytes, endpoint: Endpoint) -> bool:
+    """Send a datagram; return False where the kernel takes none, as a lossy link."""
+    try:
+        sock.sendto(datagram, (endpoint.ip, endpoint.port))
+    except OSError:
+        return False
+    return True
--- /dev/null
+++ b/citronspring/standins/caller.py
@@ -0,0 +1,93 @@
+"""A stand-in for callers: makes requests and judges the answers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+
+from citronspring.daemons.sockets import bind_udp, receive_forever, send
+from citronspring.errors import MalformedPacketError
+from citronspring.packets import decode_packet
+from citronspring.rendezvous import flow_key
+from citronspring.standins.stacks import CallerStack
+from citronspring.standins.target import TICK, encode, segment_of
+
+if TYPE_CHECKING:
+    import random
+
+    from anyio.abc import TaskStatus
+
+    from citronspring.daemons.sockets import Source
+    from citronspring.entities import Endpoint, FlowKey, ServiceAddress
+    from citronspring.standins.service import CallerSession, Request
+    from citronspring.standins.stacks import Outgoing
+
+#: Address the stand-in's packets bear inside the tunnel (a documentation range).
+CALLER_IP = "198.51.100.1"
+FIRST_PORT = 1024
+
+
+class Caller:
+    """Callers behind one socket to the fabric.
+
+    Parameters
+    ----------
+    local : Endpoint
+        Its own socket.
+    access : Endpoint
+        The fabric's socket for callers.
+    rng : random.Random
+        Initial sequence numbers.
+    """
+
+    def __init__(self, local: Endpoint, access: Endpoint, rng: random.Random) -> None:
+        self.sock = bind_udp(local)
+        self.access = access
+        self.stack = CallerStack(rng)
+        self.next_port = FIRST_PORT
+
+    async def run(
+        self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Carry segments until cancelled."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(receive_forever, self.sock, self.receive)
+            group.start_soon(self.tick_forever)
+            task_status.started()
+
+    def close(self) -> None:
+        """Close the socket."""
+        self.sock.close()
+
+    def open(self, address: ServiceAddress, request: Request) -> CallerSession:
+        """Start a request on a new connection; return its session."""
+        flow = self.new_flow(address)
+        self.send(self.stack.open(flow, request, anyio.current_time()))
+        return self.stack.sessions[flow]
+
+    def new_flow(self, address: ServiceAddress) -> FlowKey:
+        """Return an unused flow to a service address."""
+        port = self.next_port
+        self.next_port += 1
+        return flow_key(address.protocol, address.ip, address.port, CALLER_IP, port)
+
+    def receive(self, inner: bytes, source: Source) -> None:
+        """Handle a packet from the fabric."""
+        try:
+            packet = decode_packet(inner, from_caller=False)
+        except MalformedPacketError:
+            return
+        now = anyio.current_time()
+        self.send(self.stack.receive(packet.flow, segment_of(packet), now))
+
+    async def tick_forever(self) -> None:
+        """Run timers and paced bodies."""
+        while True:
+            self.send(self.stack.tick(anyio.current_time()))
+            await anyio.sleep(TICK)
+
+    def send(self, outgoing: list[Outgoing]) -> None:
+        """Hand segments to the fabric."""
+        for item in outgoing:
+            send(self.sock, encode(item, from_caller=True), self.access)
--- a/citronspring/systems/revisions.py
+++ b/citronspring/systems/revisions.py
@@ -87,13 +87,17 @@
             existing.placeable_from = placeable_from
             tables.targets[target.target_id] = existing
             row.targets.append(existing)
+        tables.targets_by_ip.pop(existing.target.tunnel.ip, None)
         existing.target = target
+        tables.targets_by_ip[target.tunnel.ip] = target.target_id
     row.targets.sort(key=lambda item: item.target.target_id)
 
 
 def remove_target(tables: Tables, gone: TargetRow) -> None:
     """Forget a target that was removed for good, and the flows bound to it."""
     tables.targets.pop(gone.target.target_id, None)
+    if tables.targets_by_ip.get(gone.target.tunnel.ip) == gone.target.target_id:
+        del tables.targets_by_ip[gone.target.tunnel.ip]
     gone.account.targets.remove(gone)
     bound = [flow for flow, row in tables.flows.rows.items() if row.target is gone]
     for flow in bound:
--- a/citronspring/tables.py
+++ b/citronspring/tables.py
@@ -243,6 +243,8 @@
     accounts: dict[str, AccountRow] = field(default_factory=dict)
     services: dict[ServiceKey, AccountRow] = field(default_factory=dict)
     targets: dict[str, TargetRow] = field(default_factory=dict)
+    #: Target ids by the address their tunnel packets come from.
+    targets_by_ip: dict[str, str] = field(default_factory=dict)
     flows: FlowTable = field(default_factory=FlowTable)
     openings: dict[FlowKey, OpeningRow] = field(default_factory=dict)
     walks: dict[FlowKey, WalkRow] = field(default_factory=dict)
