--- a/citronspring/errors.py
+++ b/citronspring/errors.py
@@ -42,16 +42,56 @@
 
 
 class ConflictError(CitronspringError):
-    """Another operator changed the same client account first."""
+    """Another operator changed the same client account first.
+
+    Parameters
+    ----------
+    message, remedy : str
+        As for every error; the message shows the other change.
+    change_id : str
+        The other operator's change.
+    revision : int
+        Where the other change was committed.
+    difference : tuple of str
+        What the other change did to the account, a line per difference.
+    """
 
     kind = "conflict"
 
+    def __init__(
+        self,
+        message: str,
+        remedy: str = "",
+        *,
+        change_id: str = "",
+        revision: int = 0,
+        difference: tuple[str, ...] = (),
+    ) -> None:
+        self.change_id = change_id
+        self.revision = revision
+        self.difference = difference
+        super().__init__(message, remedy)
+
 
 class MoveRefusedError(CitronspringError):
-    """An address still belongs, somewhere, to another client account."""
+    """An address still belongs, somewhere, to another client account.
+
+    Parameters
+    ----------
+    message, remedy : str
+        As for every error.
+    zones : tuple of str
+        Zones that have not confirmed yet that the address left.
+    """
 
     kind = "move-refused"
 
+    def __init__(
+        self, message: str, remedy: str = "", *, zones: tuple[str, ...] = ()
+    ) -> None:
+        self.zones = zones
+        super().__init__(message, remedy)
+
 
 class PlatformUnavailableError(CitronspringError):
     """The platform gave no answer, and nothing was changed."""
@@ -59,6 +99,18 @@
     kind = "platform-unavailable"
 
 
+class VersionMismatchError(CitronspringError):
+    """A compare-and-swap found another version; nothing was written."""
+
+    kind = "version-mismatch"
+
+
+class StoredValueError(CitronspringError):
+    """A value in the platform cannot be read by this release."""
+
+    kind = "stored-value"
+
+
 class OutcomeUnknownError(CitronspringError):
     """The platform's answer to a write was lost; the write may have happened."""
 
--- /dev/null
+++ b/citronspring/platform/counting.py
@@ -0,0 +1,73 @@
+"""A platform that counts the calls and bytes going through it."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from citronspring.platform.port import HostList, Platform, StoredValue
+
+
+@dataclass(slots=True)
+class CallCounts:
+    """Calls by operation, a waiting watch as one, and bytes of values."""
+
+    calls: Counter[str] = field(default_factory=Counter)
+    bytes_read: int = 0
+    bytes_written: int = 0
+
+    @property
+    def total(self) -> int:
+        """All calls together."""
+        return self.calls.total()
+
+    def clear(self) -> None:
+        """Start from zero."""
+        self.calls.clear()
+        self.bytes_read = 0
+        self.bytes_written = 0
+
+
+@dataclass(slots=True)
+class CountingPlatform:
+    """Pass calls on to another platform and count them, failed ones too."""
+
+    platform: Platform
+    counts: CallCounts = field(default_factory=CallCounts)
+
+    async def get(self, key: str) -> StoredValue | None:
+        """Read a key."""
+        self.counts.calls["get"] += 1
+        stored = await self.platform.get(key)
+        self.count_read(stored)
+        return stored
+
+    async def put(self, key: str, value: bytes, expected: int) -> int:
+        """Compare-and-swap a key."""
+        self.counts.calls["put"] += 1
+        self.counts.bytes_written += len(value)
+        return await self.platform.put(key, value, expected)
+
+    async def delete(self, key: str) -> None:
+        """Remove a key."""
+        self.counts.calls["delete"] += 1
+        await self.platform.delete(key)
+
+    async def watch(self, key: str, after_version: int) -> StoredValue:
+        """Wait for a newer version."""
+        self.counts.calls["watch"] += 1
+        stored = await self.platform.watch(key, after_version)
+        self.count_read(stored)
+        return stored
+
+    async def list_hosts(self) -> HostList:
+        """Read the host list."""
+        self.counts.calls["list_hosts"] += 1
+        return await self.platform.list_hosts()
+
+    def count_read(self, stored: StoredValue | None) -> None:
+        """Add the bytes of a value that was read."""
+        if stored is not None:
+            self.counts.bytes_read += len(stored.value)
--- /dev/null
+++ b/citronspring/platform/memory.py
@@ -0,0 +1,177 @@
+"""A platform in memory, with switches for what can fail."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import anyio
+
+from citronspring.errors import (
+    ConfigurationError,
+    OutcomeUnknownError,
+    PlatformUnavailableError,
+    VersionMismatchError,
+)
+from citronspring.platform.port import (
+    ABSENT,
+    MAX_VALUE_BYTES,
+    HostList,
+    StoredValue,
+)
+
+#: Old versions kept of each key, so that reads can be stale.
+VERSIONS_KEPT = 8
+
+Sleep = Callable[[float], Awaitable[None]]
+
+
+@dataclass(slots=True)
+class Switches:
+    """What goes wrong; the counts run down to zero by themselves."""
+
+    #: No call is taken.
+    outage: bool = False
+    #: Seconds each call takes.
+    delay: float = 0.0
+    #: The next writes take effect and their answers are lost.
+    lost_answers: int = 0
+    #: The next writes are lost before they take effect.
+    lost_requests: int = 0
+    #: The next reads answer with an old version.
+    stale_reads: int = 0
+    #: How many versions old a stale read is.
+    stale_by: int = 1
+    #: The host list stays as it was when this was switched on.
+    stale_hosts: bool = False
+
+
+@dataclass(slots=True)
+class MemoryPlatform:
+    """Keys, versions and the host list of one platform.
+
+    It holds no clock: a delay goes through ``sleep``, and without a delay only
+    ``watch`` ever suspends, so tests can run it under virtual time or by hand.
+    """
+
+    switches: Switches = field(default_factory=Switches)
+    sleep: Sleep = anyio.sleep
+    #: Versions of each key, oldest first.
+    values: dict[str, deque[StoredValue]] = field(default_factory=dict)
+    #: Rises over all keys, so that a key made again has a new version.
+    last_version: int = ABSENT
+    hosts: HostList = field(default_factory=HostList)
+    #: What the list answers while it is stale.
+    stale_hosts: HostList | None = None
+    #: Set, and replaced, at each write.
+    written: anyio.Event | None = None
+
+    async def get(self, key: str) -> StoredValue | None:
+        """Read a key, an old version of it while reads are stale."""
+        await self.take_call()
+        versions = self.values.get(key)
+        if not versions:
+            return None
+        if self.switches.stale_reads <= 0:
+            return versions[-1]
+        self.switches.stale_reads -= 1
+        index = max(0, len(versions) - 1 - self.switches.stale_by)
+        return versions[index]
+
+    async def put(self, key: str, value: bytes, expected: int) -> int:
+        """Compare-and-swap a key."""
+        if len(value) > MAX_VALUE_BYTES:
+            raise ConfigurationError(
+                f"{key} has {len(value)} bytes", f"keep to {MAX_VALUE_BYTES}"
+            )
+        await self.take_call()
+        self.lose_request(key)
+        if self.current_version(key) != expected:
+            raise VersionMismatchError(f"{key} is not at version {expected}")
+        version = self.store(key, value)
+        self.lose_answer(key)
+        return version
+
+    async def delete(self, key: str) -> None:
+        """Remove a key with its old versions."""
+        await self.take_call()
+        self.lose_request(key)
+        self.values.pop(key, None)
+        self.lose_answer(key)
+
+    async def watch(self, key: str, after_version: int) -> StoredValue:
+        """Wait until a key has a version above ``after_version``."""
+        await self.take_call()
+        while self.current_version(key) <= after_version:
+            if self.written is None:
+                self.written = anyio.Event()
+            await self.written.wait()
+            self.refuse_in_outage()
+        return self.values[key][-1]
+
+    async def list_hosts(self) -> HostList:
+        """Read the list of hosts, an old one while it is stale."""
+        await self.take_call()
+        if not self.switches.stale_hosts:
+            self.stale_hosts = None
+            return self.hosts
+        if self.stale_hosts is None:
+            self.stale_hosts = self.hosts
+        return self.stale_hosts
+
+    def set_hosts(self, live: frozenset[str], leaving: frozenset[str]) -> None:
+        """Replace the list of hosts."""
+        if self.switches.stale_hosts and self.stale_hosts is None:
+            self.stale_hosts = self.hosts
+        self.hosts = HostList(live, leaving)
+
+    def set_switches(self, switches: Switches) -> None:
+        """Replace the switches; an outage ends the watches that wait."""
+        self.switches = switches
+        self.wake_watches()
+
+    def current_version(self, key: str) -> int:
+        """Return the newest version of a key, ABSENT if there is none."""
+        versions = self.values.get(key)
+        return versions[-1].version if versions else ABSENT
+
+    def store(self, key: str, value: bytes) -> int:
+        """Write a key, whatever its version, and wake the watches."""
+        self.last_version += 1
+        versions = self.values.setdefault(key, deque(maxlen=VERSIONS_KEPT))
+        versions.append(StoredValue(value, self.last_version))
+        self.wake_watches()
+        return self.last_version
+
+    def wake_watches(self) -> None:
+        """Let the watches look again."""
+        if self.written is not None:
+            self.written.set()
+            self.written = None
+
+    async def take_call(self) -> None:
+        """Delay or refuse a call, as the switches say."""
+        self.refuse_in_outage()
+        if self.switches.delay > 0:
+            await self.sleep(self.switches.delay)
+            self.refuse_in_outage()
+
+    def refuse_in_outage(self) -> None:
+        """Raise PlatformUnavailableError during an outage."""
+        if self.switches.outage:
+            raise PlatformUnavailableError(
+                "the platform takes no calls", "try again when it is back"
+            )
+
+    def lose_request(self, key: str) -> None:
+        """Lose a write before it takes effect, if switched so."""
+        if self.switches.lost_requests > 0:
+            self.switches.lost_requests -= 1
+            raise OutcomeUnknownError(f"no answer to the write of {key}")
+
+    def lose_answer(self, key: str) -> None:
+        """Lose the answer to a write that took effect, if switched so."""
+        if self.switches.lost_answers > 0:
+            self.switches.lost_answers -= 1
+            raise OutcomeUnknownError(f"no answer to the write of {key}")
--- /dev/null
+++ b/citronspring/standins/platform.py
@@ -0,0 +1,152 @@
+"""A small HTTP service in the place of the platform."""
+
+from __future__ import annotations
+
+from dataclasses import asdict, dataclass
+from typing import TYPE_CHECKING
+
+import anyio
+from pydantic import TypeAdapter, ValidationError
+from starlette.applications import Starlette
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from citronspring.errors import (
+    ConfigurationError,
+    OutcomeUnknownError,
+    PlatformUnavailableError,
+    VersionMismatchError,
+)
+from citronspring.platform.http import VERSION_HEADER, WATCH_SECONDS
+from citronspring.platform.memory import MemoryPlatform, Switches
+from citronspring.platform.port import ABSENT
+from citronspring.standins.serving import serve_application
+
+if TYPE_CHECKING:
+    from anyio.abc import TaskStatus
+    from starlette.requests import Request
+
+    from citronspring.entities import Endpoint
+    from citronspring.platform.port import StoredValue
+
+SWITCHES = TypeAdapter(Switches)
+
+
+async def serve_platform(
+    platform: MemoryPlatform,
+    endpoint: Endpoint,
+    *,
+    task_status: TaskStatus[Endpoint] = anyio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve a platform until cancelled; starts with the endpoint it got."""
+    application = make_application(platform)
+    await serve_application(application, endpoint, task_status=task_status)
+
+
+def make_application(platform: MemoryPlatform) -> Starlette:
+    """Make the ASGI application around a platform."""
+    service = PlatformService(platform)
+    routes = [
+        Route("/values/{key:path}", service.get, methods=["GET"]),
+        Route("/values/{key:path}", service.put, methods=["PUT"]),
+        Route("/values/{key:path}", service.delete, methods=["DELETE"]),
+        Route("/hosts", service.list_hosts, methods=["GET"]),
+        Route("/hosts", service.set_hosts, methods=["PUT"]),
+        Route("/switches", service.get_switches, methods=["GET"]),
+        Route("/switches", service.set_switches, methods=["PUT"]),
+    ]
+    handlers = {
+        PlatformUnavailableError: answer_unavailable,
+        OutcomeUnknownError: answer_lost,
+        VersionMismatchError: answer_mismatch,
+        ConfigurationError: answer_too_large,
+    }
+    return Starlette(routes=routes, exception_handlers=handlers)
+
+
+@dataclass(slots=True)
+class PlatformService:
+    """The endpoints around one platform."""
+
+    platform: MemoryPlatform
+
+    async def get(self, request: Request) -> Response:
+        """Read a key; ``after`` and ``wait`` make it a watch."""
+        key = request.path_params["key"]
+        if "after" in request.query_params:
+            return await self.watch(request, key)
+        stored = await self.platform.get(key)
+        if stored is None:
+            return Response(status_code=404)
+        return answer_value(stored)
+
+    async def watch(self, request: Request, key: str) -> Response:
+        """Hold the request until there is a newer version."""
+        query = request.query_params
+        wait = min(float(query.get("wait", WATCH_SECONDS)), WATCH_SECONDS)
+        with anyio.move_on_after(wait):
+            return answer_value(await self.platform.watch(key, int(query["after"])))
+        return Response(status_code=204)
+
+    async def put(self, request: Request) -> Response:
+        """Compare-and-swap a key."""
+        key = request.path_params["key"]
+        expected = int(request.headers.get("If-Match", ABSENT))
+        version = await self.platform.put(key, await request.body(), expected)
+        return Response(headers={VERSION_HEADER: str(version)})
+
+    async def delete(self, request: Request) -> Response:
+        """Remove a key."""
+        await self.platform.delete(request.path_params["key"])
+        return Response(status_code=204)
+
+    async def list_hosts(self, request: Request) -> Response:
+        """Read the list of hosts."""
+        hosts = await self.platform.list_hosts()
+        return JSONResponse(
+            {"live": sorted(hosts.live), "leaving": sorted(hosts.leaving)}
+        )
+
+    async def set_hosts(self, request: Request) -> Response:
+        """Replace the list of hosts."""
+        body = await request.json()
+        self.platform.set_hosts(frozenset(body["live"]), frozenset(body["leaving"]))
+        return Response(status_code=204)
+
+    async def get_switches(self, request: Request) -> Response:
+        """Read the switches."""
+        return JSONResponse(asdict(self.platform.switches))
+
+    async def set_switches(self, request: Request) -> Response:
+        """Replace the switches; those left out go back to their defaults."""
+        try:
+            switches = SWITCHES.validate_json(await request.body())
+        except ValidationError as error:
+            return JSONResponse({"message": str(error)}, status_code=400)
+        self.platform.set_switches(switches)
+        return Response(status_code=204)
+
+
+def answer_value(stored: StoredValue) -> Response:
+    """Answer with a value and its version."""
+    return Response(stored.value, headers={VERSION_HEADER: str(stored.version)})
+
+
+async def answer_unavailable(request: Request, error: Exception) -> Response:
+    """Answer during an outage."""
+    return JSONResponse({"message": str(error)}, status_code=503)
+
+
+async def answer_lost(request: Request, error: Exception) -> Response:
+    """Answer as a gateway does that got no answer itself."""
+    return JSONResponse({"message": str(error)}, status_code=504)
+
+
+async def answer_mismatch(request: Request, error: Exception) -> Response:
+    """Answer to a compare-and-swap of an old version."""
+    return JSONResponse({"message": str(error)}, status_code=412)
+
+
+async def answer_too_large(request: Request, error: Exception) -> Response:
+    """Answer to a value above the limit."""
+    return JSONResponse({"message": str(error)}, status_code=413)
--- /dev/null
+++ b/citronspring/standins/serving.py
@@ -0,0 +1,91 @@
+"""Run an ASGI application inside a task group."""
+
+from __future__ import annotations
+
+import socket
+from contextlib import contextmanager
+from typing import TYPE_CHECKING, Any
+
+import anyio
+import uvicorn
+
+from citronspring.entities import Endpoint
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from anyio.abc import TaskStatus
+
+#: Seconds that open requests get when the server stops.
+SHUTDOWN_SECONDS = 1
+
+
+class ApplicationServer(uvicorn.Server):
+    """A server that leaves signals to the process and reports its start."""
+
+    def __init__(self, config: uvicorn.Config) -> None:
+        super().__init__(config)
+        self.ready = anyio.Event()
+
+    @contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Leave the signal handlers as they are."""
+        yield
+
+    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
+        """Start listening and say so."""
+        await super().startup(sockets=sockets)
+        self.ready.set()
+
+
+async def serve_application(
+    application: Any,
+    endpoint: Endpoint,
+    *,
+    task_status: TaskStatus[Endpoint] = anyio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve an ASGI application until cancelled.
+
+    The task starts with the endpoint it listens on: port 0 stands for any free
+    port.
+    """
+    listener = bind(endpoint)
+    ip, port = listener.getsockname()[:2]
+    config = uvicorn.Config(
+        application,
+        http="h11",
+        ws="none",
+        lifespan="off",
+        log_config=None,
+        access_log=False,
+        timeout_graceful_shutdown=SHUTDOWN_SECONDS,
+    )
+    server = ApplicationServer(config)
+    with listener:
+        async with anyio.create_task_group() as group:
+            group.start_soon(run_shielded, server, listener)
+            try:
+                await server.ready.wait()
+                task_status.started(Endpoint(ip, port))
+                await anyio.sleep_forever()
+            finally:
+                server.should_exit = True
+
+
+async def run_shielded(server: ApplicationServer, listener: socket.socket) -> None:
+    """Run a server that ends by ``should_exit`` alone.
+
+    Cancelled in its main loop, it would leave its connections open.
+    """
+    with anyio.CancelScope(shield=True):
+        await server.serve(sockets=[listener])
+
+
+def bind(endpoint: Endpoint) -> socket.socket:
+    """Open a listening socket."""
+    family = socket.AF_INET6 if ":" in endpoint.ip else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((endpoint.ip, endpoint.port))
+    listener.setblocking(False)
+    return listener
