--- /dev/null
+++ b/citronspring/demonstration.py
@@ -0,0 +1,226 @@
+"""The command ``try``: a small system under failure, judged by its callers."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import anyio
+
+from citronspring.standins.loopback import Loopback
+from citronspring.standins.service import Outcome, Request, RequestKind
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from citronspring.entities import Account, ServiceAddress
+    from citronspring.standins.service import CallerSession
+    from citronspring.standins.system import Operator
+
+#: Seconds that new requests arrive for.
+TRAFFIC_SECONDS = 14.0
+
+#: Seconds the last requests may take to end.
+SETTLE_SECONDS = 8.0
+
+#: New short requests a second.
+ARRIVALS = 40.0
+
+#: Size in bytes and rate in bytes a second of the long flows.
+LONG_SIZE = 120_000
+LONG_RATE = 10_000.0
+
+#: Seconds after which the fabric has noticed that a host died.
+FABRIC_LAG = 1.0
+
+#: Seconds a leaving target may still get new work.
+DRAIN_GRACE = 4.0
+
+#: Seconds between two samples of the load.
+SAMPLE_INTERVAL = 0.5
+
+#: Live connections on the least number of which an imbalance means something.
+LEAST_CONNECTIONS = 20
+
+HOSTS = 3
+
+
+@dataclass(slots=True)
+class Report:
+    """What came of a run."""
+
+    outcomes: Counter[str] = field(default_factory=Counter)
+    #: Requests that ran more than once though they must not.
+    run_twice: int = 0
+    #: Packets that reached a target of another client account.
+    foreign: int = 0
+    #: New flows on the leaving target after its grace.
+    late_work: int = 0
+    #: Maximum over mean of live connections, averaged over the samples.
+    imbalance: float = 0.0
+    #: Control bytes a second, the most over the hosts.
+    control_bytes: float = 0.0
+
+    @property
+    def kept(self) -> bool:
+        """Whether every promise held."""
+        broken = self.outcomes["broken"] + self.outcomes["wrong"]
+        return not (broken or self.run_twice or self.foreign or self.late_work)
+
+    def rows(self) -> list[tuple[str, str]]:
+        """Return the report as lines of a table."""
+        opened = sum(self.outcomes.values())
+        return [
+            ("flows opened", str(opened)),
+            ("flows finished whole", str(self.outcomes["whole"])),
+            ("flows refused (not run)", str(self.outcomes["refused"])),
+            ("flows broken", str(self.outcomes["broken"])),
+            ("wrong answers", str(self.outcomes["wrong"])),
+            ("run more than once", str(self.run_twice)),
+            ("packets at a foreign target", str(self.foreign)),
+            ("new work on the leaving target", str(self.late_work)),
+            ("imbalance (max / mean)", f"{self.imbalance:.3f}"),
+            ("control bytes/s, busiest host", f"{self.control_bytes:.0f}"),
+        ]
+
+
+@dataclass(slots=True)
+class Demonstration:
+    """One run: the system, its traffic and what happens to it."""
+
+    system: Loopback
+    operator: Operator
+    accounts: tuple[Account, ...]
+    #: Called with a line of progress.
+    say: Callable[[str], None]
+    started_at: float = 0.0
+    sessions: list[CallerSession] = field(default_factory=list)
+    samples: list[float] = field(default_factory=list)
+    drained: str = ""
+    drained_at: float = 0.0
+
+    async def run(self) -> Report:
+        """Run traffic and failures; return what came of them."""
+        self.started_at = anyio.current_time()
+        for account in self.accounts:
+            self.open_long_flows(account)
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.arrive)
+            group.start_soon(self.sample)
+            group.start_soon(self.fail)
+        await self.settle()
+        return self.judge()
+
+    def elapsed(self) -> float:
+        """Return seconds since the start."""
+        return anyio.current_time() - self.started_at
+
+    def open_long_flows(self, account: Account) -> None:
+        """Open an upload and a preview that outlast every failure."""
+        address = account.addresses[0]
+        for kind in (RequestKind.UPLOAD, RequestKind.PREVIEW):
+            name = f"{account.account_id}-long-{kind.value.lower()}"
+            self.open(address, Request(name, kind, LONG_SIZE, LONG_RATE))
+        self.say(f"a long upload and a long preview of {account.account_id} begin")
+
+    def open(self, address: ServiceAddress, request: Request) -> None:
+        """Start a request."""
+        self.sessions.append(self.system.caller.open(address, request))
+
+    async def arrive(self) -> None:
+        """Let short requests of every kind arrive."""
+        rng = self.system.rng
+        while self.elapsed() < TRAFFIC_SECONDS:
+            account = rng.choice(self.accounts)
+            kind = rng.choice(list(RequestKind))
+            name = f"request-{len(self.sessions)}"
+            size = rng.randint(2_000, 12_000)
+            self.open(account.addresses[0], Request(name, kind, size, 8_000.0))
+            await anyio.sleep(rng.expovariate(ARRIVALS))
+
+    async def sample(self) -> None:
+        """Note the imbalance from time to time."""
+        while self.elapsed() < TRAFFIC_SECONDS:
+            await anyio.sleep(SAMPLE_INTERVAL)
+            for account in self.accounts:
+                self.sample_account(account)
+
+    def sample_account(self, account: Account) -> None:
+        """Note the imbalance over the active targets of an account."""
+        counts = [
+            self.system.targets[target.target_id].stack.open_count
+            for target in account.targets
+            if target.target_id != self.drained
+        ]
+        if sum(counts) >= LEAST_CONNECTIONS:
+            self.samples.append(max(counts) * len(counts) / sum(counts))
+
+    async def fail(self) -> None:
+        """Drain a target, stop a host and kill another, one after the other."""
+        await anyio.sleep(3.0)
+        await self.drain_target()
+        await anyio.sleep(4.0)
+        await self.leave_host("host-1")
+        await anyio.sleep(3.0)
+        await self.kill_host("host-2")
+
+    async def drain_target(self) -> None:
+        """Drain the target that holds a long upload."""
+        account = self.accounts[0]
+        busiest = max(
+            account.targets,
+            key=lambda item: self.system.targets[item.target_id].stack.open_count,
+        )
+        await self.operator.drain(account.account_id, busiest.target_id)
+        self.drained, self.drained_at = busiest.target_id, anyio.current_time()
+        self.say(f"target {busiest.target_id} drains while streams run on it")
+
+    async def leave_host(self, host_id: str) -> None:
+        """Stop a host gracefully."""
+        daemon = self.system.hosts[host_id]
+        self.say(f"{host_id} leaves")
+        daemon.leave()
+        await anyio.sleep(FABRIC_LAG)
+        self.system.fabric.hosts.remove(daemon.settings.host.tunnel)
+
+    async def kill_host(self, host_id: str) -> None:
+        """Lose a host without warning."""
+        daemon = self.system.hosts[host_id]
+        self.say(f"{host_id} dies")
+        self.system.scopes[host_id].cancel()
+        await anyio.sleep(FABRIC_LAG)
+        self.system.fabric.hosts.remove(daemon.settings.host.tunnel)
+
+    async def settle(self) -> None:
+        """Wait for the last requests."""
+        self.say("no new requests; the last ones end")
+        with anyio.move_on_after(SETTLE_SECONDS):
+            while any(session.outcome is None for session in self.sessions):
+                await anyio.sleep(0.1)
+
+    def judge(self) -> Report:
+        """Compare what happened with the promises."""
+        report = Report()
+        for session in self.sessions:
+            outcome = session.outcome or Outcome.BROKEN
+            report.outcomes[outcome.value] += 1
+        runs = Counter(request_id for request_id, _ in self.system.ran)
+        report.run_twice = sum(count > 1 for count in runs.values())
+        report.foreign = sum(item.foreign for item in self.system.targets.values())
+        grace = self.drained_at + DRAIN_GRACE
+        if self.drained:
+            accepted = self.system.targets[self.drained].stack.accepted_at
+            report.late_work = sum(at > grace for at in accepted)
+        if self.samples:
+            report.imbalance = sum(self.samples) / len(self.samples)
+        report.control_bytes = self.busiest_control()
+        return report
+
+    def busiest_control(self) -> float:
+        """Return the control bytes a second of the host that sent most."""
+        sent = [
+            daemon.core.tables.counters["control.bytes_sent"]
+            for daemon in self.system.hosts.values()
+        ]
+        return max(sent) / self.elapsed()
