--- /dev/null
+++ b/citronspring/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments: seeded runs of many cores under faults, judged afterwards."""
--- /dev/null
+++ b/citronspring/experiments/scenario.py
@@ -0,0 +1,100 @@
+"""What befalls a run: faults and changes, drawn from a seed."""
+
+from __future__ import annotations
+
+import itertools
+import random
+from dataclasses import dataclass, field
+from enum import Enum
+
+
+class FaultKind(Enum):
+    """What can befall a run."""
+
+    HOST_KILL = "host-kill"
+    TARGET_DRAIN = "target-drain"
+    CONFIG_CHANGE = "config-change"
+    PLATFORM_OUTAGE = "platform-outage"
+    ZONE_CUT = "zone-cut"
+    HOST_FREEZE = "host-freeze"
+    OPERATOR_RACE = "operator-race"
+    HOST_JOIN = "host-join"
+    HOST_LEAVE = "host-leave"
+    TARGET_ADD = "target-add"
+    TARGET_SHED = "target-shed"
+    LOST_ANSWER = "lost-answer"
+
+
+#: Faults of which every pair must meet in some run.
+PAIRED = (
+    FaultKind.HOST_KILL,
+    FaultKind.TARGET_DRAIN,
+    FaultKind.CONFIG_CHANGE,
+    FaultKind.PLATFORM_OUTAGE,
+    FaultKind.ZONE_CUT,
+    FaultKind.HOST_FREEZE,
+    FaultKind.OPERATOR_RACE,
+)
+
+#: Every unordered pair, a kind with itself included: anything may come twice.
+PAIRS = tuple(itertools.combinations_with_replacement(PAIRED, 2))
+
+#: Seconds that a fault with an end lasts at the least and at the most.
+SHORTEST_FAULT = 1.0
+LONGEST_FAULT = 6.0
+
+#: Seconds between the two faults of the pair at the most.
+PAIR_GAP = 2.0
+
+#: Seconds at the start without faults, so that membership has formed.
+QUIET_START = 4.0
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """One thing that befalls a run."""
+
+    at: float
+    kind: FaultKind
+    #: End of a fault that has one.
+    until: float
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """A run: its sizes, its links, its faults in the order of their times."""
+
+    seed: int
+    #: Seconds during which requests arrive and faults come.
+    duration: float
+    hosts: int
+    #: Requests a second.
+    arrivals: float
+    #: Share of packets lost, and of packets that arrive twice.
+    loss: float
+    duplication: float
+    faults: tuple[Fault, ...] = field(default_factory=tuple)
+
+    @classmethod
+    def from_seed(cls, seed: int, duration: float = 16.0) -> Scenario:
+        """Draw a run; the pair of faults is a function of the seed alone."""
+        rng = random.Random(seed)
+        first, second = PAIRS[seed % len(PAIRS)]
+        start = rng.uniform(QUIET_START, duration / 2)
+        kinds = [(start, first), (start + rng.uniform(0.0, PAIR_GAP), second)]
+        for _ in range(rng.randint(0, 3)):
+            kind = rng.choice(list(FaultKind))
+            kinds.append((rng.uniform(QUIET_START, duration), kind))
+        faults = [
+            Fault(at, kind, at + rng.uniform(SHORTEST_FAULT, LONGEST_FAULT))
+            for at, kind in sorted(kinds, key=lambda item: item[0])
+        ]
+        return cls(
+            seed,
+            duration,
+            hosts=rng.choice((3, 6, 9)),
+            arrivals=rng.choice((8.0, 20.0)),
+            loss=rng.choice((0.0, 0.0, 0.01, 0.05)),
+            duplication=rng.choice((0.0, 0.0, 0.02)),
+            faults=tuple(faults),
+        )
--- a/citronspring/systems/revisions.py
+++ b/citronspring/systems/revisions.py
@@ -106,7 +106,9 @@
 
 def remove_account(tables: Tables, account_id: str) -> None:
     """Forget a client account with its addresses, targets and flows."""
-    row = tables.accounts.pop(account_id)
+    row = tables.accounts.pop(account_id, None)
+    if row is None:
+        return
     for address in row.account.addresses:
         tables.services.pop(service_key(address), None)
     for target in list(row.targets):
