--- /dev/null
+++ b/citronspring/experiments/run.py
@@ -0,0 +1,296 @@
+"""One run: real cores on the in-memory network, a platform, operators, callers."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from citronspring.balancer import Balancer
+from citronspring.configuration.store import ConfigurationStore
+from citronspring.entities import Endpoint, Host
+from citronspring.errors import CitronspringError
+from citronspring.experiments.coroutines import DelayedPlatform, start
+from citronspring.experiments.faults import apply_fault
+from citronspring.experiments.history import (
+    ChangeAccepted,
+    ChangeRefused,
+    ForeignPacket,
+    History,
+    HostEnded,
+    HostStarted,
+    RequestRan,
+    RevisionSeen,
+    WorkAccepted,
+)
+from citronspring.experiments.workload import Workload
+from citronspring.messages import (
+    ReadPlatform,
+    RecordsRead,
+    SendToTarget,
+    SnapshotRead,
+)
+from citronspring.platform.memory import MemoryPlatform
+from citronspring.rendezvous import service_key_of
+from citronspring.standins.network import LinkQuality, Network
+from citronspring.standins.system import (
+    ACCOUNT_SIZES,
+    SERVICE_PORT,
+    SYSTEM_ZONES,
+    Operator,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine
+
+    from citronspring.experiments.coroutines import Finished
+    from citronspring.experiments.scenario import Scenario
+    from citronspring.messages import Action
+    from citronspring.standins.service import Request
+
+#: Where the platform is, for cuts.
+PLATFORM = "platform"
+
+#: Seconds one way to the platform, at the least and at the most.
+PLATFORM_DELAY = (0.001, 0.01)
+
+#: Seconds in which the last requests may end after the last fault.
+SETTLE = 45.0
+
+#: Seconds after which the fabric has noticed that a host came or went.
+FABRIC_LAG = 1.5
+
+#: Seconds between two looks at revisions and ended requests.
+WATCH_INTERVAL = 0.05
+
+#: Boot times of successive processes lie this many milliseconds apart.
+BOOT_STEP = 1000
+
+
+@dataclass(slots=True)
+class Run:
+    """The parts of one run and its history."""
+
+    scenario: Scenario
+    rng: random.Random
+    network: Network
+    platform: MemoryPlatform
+    history: History = field(default_factory=History)
+    workload: Workload = field(init=False)
+    #: Every host ever described, by id.
+    described: dict[str, Host] = field(default_factory=dict)
+    #: Revision last seen of each running host.
+    revisions: dict[str, int] = field(default_factory=dict)
+    #: Connections each target had accepted when last looked at.
+    accepted: dict[str, int] = field(default_factory=dict)
+    #: Target parameters of each client account as last committed.
+    parameters: dict[str, list[dict[str, object]]] = field(default_factory=dict)
+    operators: int = 0
+    #: Targets that an operator drained or is draining.
+    drained: set[str] = field(default_factory=set)
+
+    @classmethod
+    def from_scenario(cls, scenario: Scenario) -> Run:
+        """Build the system of a scenario, not started yet."""
+        rng = random.Random(f"run {scenario.seed}")
+        quality = LinkQuality(loss=scenario.loss, duplication=scenario.duplication)
+        network = Network(rng, quality)
+        network.zones[PLATFORM] = PLATFORM
+        run = cls(scenario, rng, network, MemoryPlatform())
+        addresses = {
+            account_id: f"192.0.2.{index + 1}"
+            for index, account_id in enumerate(ACCOUNT_SIZES)
+        }
+        run.workload = Workload(network, run.history, rng, addresses, SERVICE_PORT)
+        network.observers.append(run.observe)
+        network.perform_other = run.perform
+        return run
+
+    # Setting up ---------------------------------------------------------------
+
+    def start(self) -> None:
+        """Commit the configuration, then start targets and hosts."""
+        operator = self.make_operator(lambda: True)
+        done: list[Finished] = []
+        start(self.network, operator.set_up(), done.append)
+        self.network.run_until(1.0)
+        assert done and done[0].error is None, done
+        for account_id, count in ACCOUNT_SIZES.items():
+            for number in range(count):
+                self.add_target(account_id, number)
+        for index in range(self.scenario.hosts):
+            self.describe_host(index)
+        for host_id in list(self.described):
+            self.start_host(host_id)
+        self.watch()
+
+    def describe_host(self, index: int) -> Host:
+        """Describe a host that does not run yet."""
+        ip = f"127.0.1.{index + 1}"
+        sockets = [Endpoint(ip, port) for port in (6080, 6081, 6082)]
+        zone = SYSTEM_ZONES[index % len(SYSTEM_ZONES)]
+        host = Host(f"host-{index}", zone, "entry", *sockets)
+        self.described[host.host_id] = host
+        self.history.zones[host.host_id] = zone
+        return host
+
+    def start_host(self, host_id: str) -> None:
+        """Start a host process that knows its settings and nothing else."""
+        host = self.described[host_id]
+        peers = [peer for peer in self.described.values() if peer is not host]
+        boot = 1 + int(self.network.now * BOOT_STEP)
+        core = Balancer.from_config(host, peers, boot_time=boot)
+        self.network.stopped.discard(host_id)
+        self.history.add(HostStarted(self.network.now, host_id))
+        self.revisions[host_id] = 0
+        self.network.add_host(core)
+        self.network.sprayed.remove(host_id)
+        self.network.after(FABRIC_LAG, lambda: self.spray_to(host_id))
+        self.read_platform(host_id, 0)
+
+    def spray_to(self, host_id: str) -> None:
+        """Let the fabric notice a host."""
+        if host_id in self.network.hosts and host_id not in self.network.sprayed:
+            self.network.sprayed.append(host_id)
+
+    def end_host(self, host_id: str) -> None:
+        """End a host process; the fabric notices later."""
+        self.network.kill_host(host_id)
+        self.history.add(HostEnded(self.network.now, host_id))
+        self.network.after(FABRIC_LAG, lambda: self.stop_spraying(host_id))
+
+    def stop_spraying(self, host_id: str) -> None:
+        """Let the fabric notice that a host is gone."""
+        if host_id in self.network.sprayed and host_id not in self.network.hosts:
+            self.network.sprayed.remove(host_id)
+
+    def add_target(self, account_id: str, number: int) -> None:
+        """Start a target."""
+        target_id = f"{account_id}-{number}"
+        zone = SYSTEM_ZONES[number % len(SYSTEM_ZONES)]
+
+        def on_run(request: Request) -> None:
+            entry = RequestRan(self.network.now, request.request_id, target_id)
+            self.history.add(entry)
+
+        self.network.add_target(target_id, zone, on_run)
+        self.accepted[target_id] = 0
+
+    # Operators and readers ----------------------------------------------------
+
+    def make_operator(self, reachable: Callable[[], bool]) -> Operator:
+        """Return an operator with a store of their own."""
+        self.operators += 1
+        store = ConfigurationStore.from_platform(
+            self.platform_for(reachable), SYSTEM_ZONES
+        )
+        return Operator(
+            store, lambda: self.network.now, name=f"operator-{self.operators}"
+        )
+
+    def platform_for(self, reachable: Callable[[], bool]) -> DelayedPlatform:
+        """Return the platform as one process reaches it."""
+        return DelayedPlatform(
+            self.platform, lambda: self.rng.uniform(*PLATFORM_DELAY), reachable
+        )
+
+    def submit(
+        self, change_id: str, commit: Coroutine[None, None, object], drained: str | None
+    ) -> None:
+        """Run an operator's commit and note what they are told."""
+
+        def done(finished: Finished) -> None:
+            now = self.network.now
+            if finished.error is None:
+                revision = finished.value.revision
+                self.history.add(ChangeAccepted(now, change_id, revision, drained))
+            elif isinstance(finished.error, CitronspringError):
+                kind = finished.error.kind
+                self.history.add(ChangeRefused(now, change_id, kind))
+            else:
+                raise finished.error
+
+        start(self.network, commit, done)
+
+    def read_platform(self, host_id: str, revision: int) -> None:
+        """Read what is newer than a revision, for a host that asks."""
+        core = self.network.hosts[host_id]
+
+        def reachable() -> bool:
+            return self.network.connected(host_id, PLATFORM)
+
+        store = ConfigurationStore.from_platform(
+            self.platform_for(reachable), SYSTEM_ZONES
+        )
+
+        def done(finished: Finished) -> None:
+            if finished.error is None and self.network.hosts.get(host_id) is core:
+                event = finished.value
+                self.network.arrive(host_id, lambda: self.network.give(host_id, event))
+
+        start(self.network, read_newer(store, revision), done)
+
+    # Watching -----------------------------------------------------------------
+
+    def observe(self, host_id: str, action: Action) -> None:
+        """Note a packet that goes to a target of another client account."""
+        if not isinstance(action, SendToTarget):
+            return
+        key = service_key_of(action.packet.flow)
+        account_id = list(ACCOUNT_SIZES)[key[4] - 1]
+        if not action.target_id.startswith(account_id):
+            entry = ForeignPacket(
+                self.network.now, account_id, action.target_id, host_id
+            )
+            self.history.add(entry)
+
+    def perform(self, host_id: str, action: Action) -> None:
+        """Do what a core asks for beside packets and messages."""
+        match action:
+            case ReadPlatform():
+                self.read_platform(host_id, action.revision)
+
+    def watch(self) -> None:
+        """Note revisions, new work and ended requests; again a moment later."""
+        for host_id, core in list(self.network.hosts.items()):
+            revision = core.tables.revision
+            if revision != self.revisions[host_id]:
+                self.revisions[host_id] = revision
+                entry = RevisionSeen(self.network.now, host_id, revision)
+                self.history.add(entry)
+            if host_id in self.network.stopped:
+                self.end_host(host_id)
+        for target_id, stack in self.network.targets.items():
+            for at in stack.accepted_at[self.accepted[target_id] :]:
+                self.history.add(WorkAccepted(at, target_id))
+            self.accepted[target_id] = len(stack.accepted_at)
+        self.workload.note_ends()
+        self.network.after(WATCH_INTERVAL, self.watch)
+
+    def run(self) -> History:
+        """Run the scenario to its end; return the history."""
+        self.start()
+        begin = self.network.now
+        end = begin + self.scenario.duration
+        for fault in self.scenario.faults:
+            delay = fault.at
+            self.network.after(delay, lambda fault=fault: apply_fault(self, fault))
+        self.network.run_until(begin + 2.0)
+        self.workload.arrive(end, self.scenario.arrivals)
+        self.network.run_until(end)
+        limit = end + SETTLE
+        while self.workload.unfinished and self.network.now < limit:
+            self.network.run_until(self.network.now + 1.0)
+        self.workload.give_up()
+        return self.history
+
+
+async def read_newer(
+    store: ConfigurationStore, revision: int
+) -> SnapshotRead | RecordsRead:
+    """Read records after a revision, or everything if they are forgotten."""
+    if revision:
+        records = await store.read_records(revision)
+        if records is not None:
+            return RecordsRead(records)
+    return SnapshotRead(await store.read_snapshot())
--- /dev/null
+++ b/citronspring/experiments/workload.py
@@ -0,0 +1,105 @@
+"""The callers of a run: requests of every kind, each on a connection of its own."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from citronspring.entities import Protocol
+from citronspring.experiments.history import RequestEnded, RequestOpened
+from citronspring.rendezvous import flow_key
+from citronspring.standins.service import Outcome, Request, RequestKind
+
+if TYPE_CHECKING:
+    from citronspring.entities import FlowKey
+    from citronspring.experiments.history import History
+    from citronspring.standins.network import Network
+
+#: Address and first port of the callers (a documentation range).
+CALLER_IP = "198.51.100.1"
+FIRST_PORT = 1024
+
+#: Bytes of the shortest and the longest body, and bytes a second it goes at.
+SMALLEST = 200
+LARGEST = 16_000
+RATE = 2_000.0
+
+#: Share of requests that last through most of a run.
+LONG_SHARE = 0.1
+LONG_SIZE = 30_000
+
+
+@dataclass(slots=True)
+class Workload:
+    """Opens requests and notes how they end."""
+
+    network: Network
+    history: History
+    rng: random.Random
+    #: Service address of each client account.
+    addresses: dict[str, str]
+    port: int
+    opened: dict[FlowKey, Request] = field(default_factory=dict)
+    #: Flows whose end is noted.
+    ended: set[FlowKey] = field(default_factory=set)
+
+    def arrive(self, until: float, per_second: float) -> None:
+        """Open a request now, and go on until a time."""
+        self.open()
+        gap = self.rng.expovariate(per_second)
+        if self.network.now + gap < until:
+            self.network.after(gap, lambda: self.arrive(until, per_second))
+
+    def open(self) -> None:
+        """Open one request of some kind at some client account."""
+        account_id = self.rng.choice(sorted(self.addresses))
+        number = len(self.opened)
+        request = self.draw_request(f"request-{number}")
+        flow = flow_key(
+            Protocol.TCP,
+            self.addresses[account_id],
+            self.port,
+            CALLER_IP,
+            FIRST_PORT + number,
+        )
+        self.opened[flow] = request
+        now = self.network.now
+        entry = RequestOpened(now, request.request_id, account_id, request.kind)
+        self.history.add(entry)
+        self.network.call(flow, request)
+
+    def draw_request(self, request_id: str) -> Request:
+        """Return a request of some kind and length."""
+        kind = self.rng.choice(list(RequestKind))
+        size = self.rng.randint(SMALLEST, LARGEST)
+        if self.rng.random() < LONG_SHARE:
+            size = LONG_SIZE
+        return Request(request_id, kind, size, RATE)
+
+    def note_ends(self) -> None:
+        """Note the requests that ended since the last call."""
+        for flow, session in list(self.network.callers.sessions.items()):
+            if session.outcome is not None and flow not in self.ended:
+                self.note_end(flow, session.outcome)
+
+    def note_end(self, flow: FlowKey, outcome: Outcome) -> None:
+        """Note how one request ended."""
+        self.ended.add(flow)
+        session = self.network.callers.sessions.pop(flow)
+        detail = session.refusal or " ".join(session.log)
+        entry = RequestEnded(
+            self.network.now, session.request.request_id, outcome, detail
+        )
+        self.history.add(entry)
+
+    @property
+    def unfinished(self) -> int:
+        """Requests that have not ended."""
+        return len(self.opened) - len(self.ended)
+
+    def give_up(self) -> None:
+        """Note requests that never ended as broken."""
+        for flow in list(self.network.callers.sessions):
+            if flow not in self.ended:
+                self.note_end(flow, Outcome.BROKEN)
--- a/citronspring/settings.py
+++ b/citronspring/settings.py
@@ -79,6 +79,9 @@
     """The platform's key-value service."""
 
     url: str
+    #: Every availability zone; an address moves between client accounts only
+    #: once all of them have let it go.
+    zones: tuple[str, ...] = Field(min_length=1)
 
 
 class LimitsSection(Section):
--- a/citronspring/standins/loopback.py
+++ b/citronspring/standins/loopback.py
@@ -83,7 +83,7 @@
         return Settings(
             host=section,
             fabric=FabricSection(gateway=self.gateway),
-            platform=PlatformSection(url=platform_url),
+            platform=PlatformSection(url=platform_url, zones=self.zones),
             peers=others,
         )
 
--- a/citronspring/standins/stacks.py
+++ b/citronspring/standins/stacks.py
@@ -127,7 +127,9 @@
         self, flow: FlowKey, connection: Connection, now: float
     ) -> list[Outgoing]:
         """Let the request go on and collect what is to be sent."""
-        self.sessions[flow].advance(connection, now)
+        session = self.sessions.get(flow)
+        if session is not None:
+            session.advance(connection, now)
         if connection.state is State.CLOSED:
             self.forget_at.setdefault(flow, now + LINGER)
         return [(flow, item) for item in connection.take_outbox()]
--- a/citronspring/standins/system.py
+++ b/citronspring/standins/system.py
@@ -1,13 +1,18 @@
-"""The two client accounts that stand-in systems run, and their operator."""
+"""The client accounts that stand-in systems run, and the operator who sets them up."""
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+import itertools
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
 
-from citronspring.entities import Account, Endpoint, Protocol, ServiceAddress, Target
+from citronspring.configuration.changes import DrainTarget, PutAccount, PutTemplate
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Mapping
+
+    from citronspring.configuration.changes import AnyChange
+    from citronspring.configuration.store import Committed, ConfigurationStore
 
 #: Availability zones of the stand-in systems.
 SYSTEM_ZONES = ("drukkerij", "zetterij", "pakhuis")
@@ -18,43 +23,96 @@
 SERVICE_PORT = 443
 TUNNEL_PORT = 6080
 
+TEMPLATE_NAME = "web-service"
+
+#: One kind of service: TCP and UDP on one address.
+TEMPLATE: dict[str, Any] = {
+    "name": TEMPLATE_NAME,
+    "parameters": {
+        "address": {"type": "address"},
+        "targets": {"type": "targets"},
+        "zones": {"type": "zones"},
+        "new_per_second": {"type": "number", "default": 10_000.0, "minimum": 0.0},
+    },
+    "body": {
+        "addresses": [
+            {"ip": "{address}", "port": SERVICE_PORT, "protocol": "tcp"},
+            {"ip": "{address}", "port": SERVICE_PORT, "protocol": "udp"},
+        ],
+        "targets": "{targets}",
+        "zones": "{zones}",
+        "limits": {"new_per_second": "{new_per_second}"},
+    },
+}
+
+
+def target_parameters(
+    account_id: str, number: int, zones: tuple[str, ...] = SYSTEM_ZONES
+) -> dict[str, Any]:
+    """Return the parameters of one target; its tunnel follows from its number."""
+    index = list(ACCOUNT_SIZES).index(account_id)
+    return {
+        "target_id": f"{account_id}-{number}",
+        "tunnel": f"127.0.{10 + index}.{number + 1}:{TUNNEL_PORT}",
+        "zone": zones[number % len(zones)],
+    }
+
+
+def account_parameters(
+    account_id: str, count: int, zones: tuple[str, ...] = SYSTEM_ZONES
+) -> dict[str, Any]:
+    """Return the parameters of a client account with so many targets."""
+    index = list(ACCOUNT_SIZES).index(account_id)
+    return {
+        "address": f"192.0.2.{index + 1}",
+        "targets": [
+            target_parameters(account_id, number, zones) for number in range(count)
+        ],
+        "zones": list(zones),
+    }
+
+
+@dataclass(slots=True)
+class Operator:
+    """Makes changes through the configuration store.
+
+    Each change has an id of its own, which a repeated commit keeps.
+    """
+
+    store: ConfigurationStore
+    #: Time from which retentions of removed targets run.
+    clock: Callable[[], float]
+    name: str = "operator"
+    numbers: itertools.count[int] = field(default_factory=itertools.count)
+
+    def identity(self) -> dict[str, str]:
+        """Return change id and author of a new change."""
+        token = f"{self.name}-{next(self.numbers)}"
+        return {"change_id": self.store.new_change_id(token), "author": self.name}
+
+    async def commit(self, change: AnyChange) -> Committed:
+        """Commit a change; raises what the store raises."""
+        return await self.store.commit(change, self.clock())
+
+    async def set_up(self) -> None:
+        """Create the template and the client accounts."""
+        await self.commit(PutTemplate(template=TEMPLATE, **self.identity()))
+        for account_id, count in ACCOUNT_SIZES.items():
+            parameters = account_parameters(account_id, count)
+            await self.commit(self.put_account(account_id, parameters))
+
+    def put_account(self, account_id: str, parameters: dict[str, Any]) -> PutAccount:
+        """Return the change that sets an account's parameters."""
+        return PutAccount(
+            account_id=account_id,
+            template=TEMPLATE_NAME,
+            parameters=parameters,
+            **self.identity(),
+        )
 
-def make_accounts(zones: tuple[str, ...] = SYSTEM_ZONES) -> tuple[Account, ...]:
-    """Return the client accounts, their targets spread over the zones."""
-    return tuple(
-        make_account(account_id, count, index, zones)
-        for index, (account_id, count) in enumerate(ACCOUNT_SIZES.items())
-    )
-
-
-def make_account(
-    account_id: str, count: int, index: int, zones: tuple[str, ...]
-) -> Account:
-    """Return one client account with a TCP and a UDP service address."""
-    ip = f"192.0.2.{index + 1}"
-    addresses = tuple(
-        ServiceAddress(ip, SERVICE_PORT, protocol)
-        for protocol in (Protocol.TCP, Protocol.UDP)
-    )
-    targets = tuple(
-        make_target(account_id, index, number, zones) for number in range(count)
-    )
-    return Account(account_id, addresses, targets, zones)
-
-
-def make_target(
-    account_id: str,
-    account_index: int,
-    number: int,
-    zones: tuple[str, ...],
-    added_revision: int = 1,
-) -> Target:
-    """Return one target; its tunnel address follows from the two numbers."""
-    tunnel = Endpoint(f"127.0.{10 + account_index}.{number + 1}", TUNNEL_PORT)
-    return Target(
-        f"{account_id}-{number}",
-        account_id,
-        tunnel,
-        zones[number % len(zones)],
-        added_revision=added_revision,
-    )
+    async def drain(self, account_id: str, target_id: str) -> Committed:
+        """Let a target take no new flows."""
+        change = DrainTarget(
+            account_id=account_id, target_id=target_id, **self.identity()
+        )
+        return await self.commit(change)
