--- a/tests/test_platform/test_memory.py
+++ b/tests/test_platform/test_memory.py
@@ -113,6 +113,8 @@
         group.start_soon(watch)
         await anyio.wait_all_tasks_blocked()
         platform.set_switches(Switches(outage=True))
+        await anyio.wait_all_tasks_blocked()
+        group.cancel_scope.cancel()
     assert len(failures) == 1
     with pytest.raises(PlatformUnavailableError):
         await platform.get("key")
