--- /dev/null
+++ b/citronspring/configuration/catalog.py
@@ -0,0 +1,53 @@
+"""The whole configuration at one version of the head."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from citronspring.configuration.shards import Head, Shard, Templates, shard_of
+from citronspring.entities import Snapshot
+from citronspring.platform.port import ABSENT
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from citronspring.configuration.shards import AccountEntry, Release
+
+
+@dataclass(frozen=True, slots=True)
+class Catalog:
+    """A head with the shards and templates it names."""
+
+    #: Version under which the platform holds the head.
+    version: int
+    head: Head
+    shards: tuple[Shard, ...]
+    templates: Templates
+
+    @classmethod
+    def empty(cls) -> Catalog:
+        """Return the catalog from which every configuration starts."""
+        head = Head()
+        return cls(ABSENT, head, (Shard(),) * len(head.shards), Templates())
+
+    def entry(self, account_id: str) -> AccountEntry | None:
+        """Return an account's entry, None when there is none."""
+        shard = self.shards[shard_of(account_id, len(self.shards))]
+        return shard.accounts.get(account_id)
+
+    def entries(self) -> Iterator[tuple[str, AccountEntry]]:
+        """Yield every account id with its entry."""
+        for shard in self.shards:
+            yield from shard.accounts.items()
+
+    def releases(self) -> Iterator[Release]:
+        """Yield every address that left an account."""
+        for shard in self.shards:
+            yield from shard.releases
+
+    def snapshot(self) -> Snapshot:
+        """Return every account as rendered, in the order of their ids."""
+        entries = sorted(self.entries(), key=lambda item: item[0])
+        accounts = tuple(entry.rendered.account for _, entry in entries)
+        return Snapshot(self.head.revision, accounts)
--- /dev/null
+++ b/citronspring/configuration/difference.py
@@ -0,0 +1,71 @@
+"""Tell in a few lines what a change did."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from citronspring.configuration.explain import shown
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from citronspring.configuration.rendering import Rendered
+    from citronspring.configuration.shards import AccountEntry
+
+#: Most lines kept of one change.
+LINES_KEPT = 8
+
+
+def account_difference(
+    before: AccountEntry | None, after: AccountEntry | None
+) -> tuple[str, ...]:
+    """Return what a change did to an account, a line per difference."""
+    if before is None:
+        return ("created",)
+    if after is None:
+        return ("deleted",)
+    lines = []
+    if before.template != after.template:
+        lines.append(f"template: {before.template} -> {after.template}")
+    lines += mapping_difference(before.parameters, after.parameters)
+    lines += target_difference(before.rendered, after.rendered)
+    return shortened(lines)
+
+
+def mapping_difference(
+    before: Mapping[str, Any], after: Mapping[str, Any]
+) -> list[str]:
+    """Return a line per key with another value, and per item of a list."""
+    lines = []
+    for key in sorted(set(before) | set(after)):
+        old, new = before.get(key), after.get(key)
+        if old == new:
+            continue
+        if isinstance(old, list) and isinstance(new, list):
+            lines += [f"{key}: + {shown(item)}" for item in new if item not in old]
+            lines += [f"{key}: - {shown(item)}" for item in old if item not in new]
+        else:
+            lines.append(f"{key}: {shown(old)} -> {shown(new)}")
+    return lines
+
+
+def target_difference(before: Rendered, after: Rendered) -> list[str]:
+    """Return a line per target that leaves, comes back or is forgotten."""
+    old = {target.target_id: target for target in before.account.targets}
+    new = {target.target_id: target for target in after.account.targets}
+    lines = []
+    for target_id in sorted(set(old) | set(new)):
+        if target_id not in new:
+            lines.append(f"target {target_id}: purged")
+        elif target_id in old and old[target_id].leaving != new[target_id].leaving:
+            word = "leaving" if new[target_id].leaving else "active"
+            lines.append(f"target {target_id}: {word}")
+    return lines
+
+
+def shortened(lines: list[str]) -> tuple[str, ...]:
+    """Return the first lines and how many more there are."""
+    if len(lines) <= LINES_KEPT:
+        return tuple(lines)
+    more = f"and {len(lines) - LINES_KEPT + 1} more"
+    return (*lines[: LINES_KEPT - 1], more)
--- /dev/null
+++ b/citronspring/configuration/explain.py
@@ -0,0 +1,83 @@
+"""Turn validation errors into errors that name key, value and remedy."""
+
+from __future__ import annotations
+
+from difflib import get_close_matches
+from typing import TYPE_CHECKING, Any
+
+from citronspring.errors import ConfigurationError
+
+if TYPE_CHECKING:
+    from pydantic import BaseModel, ValidationError
+    from pydantic_core import ErrorDetails
+
+#: Longest piece of an operator's value that a message shows.
+SHOWN_LENGTH = 80
+
+
+def explained(
+    error: ValidationError, what: str, model: type[BaseModel] | None = None
+) -> ConfigurationError:
+    """Make an error of the first thing that is wrong.
+
+    Parameters
+    ----------
+    error : ValidationError
+        What the model found.
+    what : str
+        The template or account, for the message.
+    model : type of BaseModel, optional
+        Its fields are proposed in place of an unknown key.
+    """
+    first = findings_of(error)[0]
+    message = f"{what}: {first_finding(error)}"
+    return ConfigurationError(message, remedy_of(first, model))
+
+
+def first_finding(error: ValidationError) -> str:
+    """Return key, complaint and value of the first thing that is wrong."""
+    found = findings_of(error)
+    first = found[0]
+    complaint = first["msg"].removeprefix("Value error, ")
+    text = f"{complaint}, got {shown(first['input'])}"
+    if first["loc"]:
+        key = ".".join(str(part) for part in first["loc"])
+        text = f"{shown(key)}: {text}"
+    if len(found) > 1:
+        text = f"{text} (and {len(found) - 1} more)"
+    return text
+
+
+def findings_of(error: ValidationError) -> list[ErrorDetails]:
+    """Return the findings, unknown keys first: they explain missing ones."""
+    found = error.errors(include_url=False)
+    return sorted(found, key=lambda finding: finding["type"] != "extra_forbidden")
+
+
+def remedy_of(first: Any, model: type[BaseModel] | None) -> str:
+    """Return what to do about one finding."""
+    key = str(first["loc"][-1]) if first["loc"] else ""
+    match first["type"]:
+        case "extra_forbidden":
+            return remedy_of_unknown(key, list(model.model_fields) if model else [])
+        case "missing":
+            return f"add {key}"
+        case _:
+            return f"correct {shown(key) if key else 'it'}"
+
+
+def remedy_of_unknown(key: str, known: list[str]) -> str:
+    """Return the remedy for an unknown key, with the likeliest known one."""
+    close = get_close_matches(key, known, n=1)
+    if close:
+        return f"did you mean {close[0]}?"
+    return f"remove {shown(key)}"
+
+
+def shown(value: object) -> str:
+    """Return a short printable form of a value."""
+    text = value if isinstance(value, str) else repr(value)
+    printable = text.encode("unicode_escape").decode("ascii")
+    if len(printable) <= SHOWN_LENGTH:
+        return printable
+    return f"{printable[:SHOWN_LENGTH]}..."
--- /dev/null
+++ b/citronspring/configuration/models.py
@@ -0,0 +1,244 @@
+"""Validated models of what operators write: templates and account bodies."""
+
+from __future__ import annotations
+
+import json
+from ipaddress import IPv4Address, IPv6Address, ip_address
+from typing import Annotated, Any, Literal, Self
+
+from pydantic import (
+    AfterValidator,
+    BaseModel,
+    ConfigDict,
+    Field,
+    JsonValue,
+    TypeAdapter,
+    ValidationError,
+    field_validator,
+    model_validator,
+)
+
+from citronspring.configuration.explain import explained, first_finding, shown
+from citronspring.entities import AccountLimits, Endpoint, ServiceAddress
+from citronspring.entities import Protocol as IpProtocol
+from citronspring.errors import ConfigurationError
+
+#: Most service addresses, targets and zones of one account.
+ACCOUNT_ROWS = 512
+
+#: Largest template as JSON, in bytes.
+TEMPLATE_BYTES = 16_384
+
+
+def canonical_ip(text: str) -> str:
+    """Return an address in its canonical form, if one host can have it."""
+    address: IPv4Address | IPv6Address = ip_address(text)
+    if getattr(address, "scope_id", None):
+        raise ValueError("an address without a scope is needed")
+    if getattr(address, "ipv4_mapped", None):
+        raise ValueError("write it as an IPv4 address")
+    if address.is_multicast or address.is_unspecified:
+        raise ValueError("an address that one host can have is needed")
+    return str(address)
+
+
+def canonical_endpoint(text: str) -> str:
+    """Return ``ip:port`` in its canonical form."""
+    endpoint = Endpoint.from_text(text)
+    if not 0 < endpoint.port < 65536:
+        raise ValueError("a port from 1 to 65535 is needed")
+    return str(Endpoint(canonical_ip(endpoint.ip), endpoint.port))
+
+
+IpText = Annotated[str, Field(max_length=64), AfterValidator(canonical_ip)]
+EndpointText = Annotated[str, Field(max_length=80), AfterValidator(canonical_endpoint)]
+Port = Annotated[int, Field(ge=1, le=65535)]
+Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
+ParameterName = Annotated[str, Field(pattern=r"^[a-z][a-z0-9_]{0,62}$")]
+Text = Annotated[str, Field(max_length=1024)]
+
+
+class BorderModel(BaseModel):
+    """Refuse unknown keys, and other types than the named ones."""
+
+    model_config = ConfigDict(
+        extra="forbid", strict=True, frozen=True, allow_inf_nan=False
+    )
+
+
+class ServiceAddressModel(BorderModel):
+    """What callers connect to."""
+
+    ip: IpText
+    port: Port
+    protocol: Literal["tcp", "udp"] = "tcp"
+
+    def to_entity(self) -> ServiceAddress:
+        """Return the data class."""
+        return ServiceAddress(self.ip, self.port, IpProtocol[self.protocol.upper()])
+
+
+class TargetModel(BorderModel):
+    """A server of the account."""
+
+    target_id: Name
+    tunnel: EndpointText
+    zone: Name
+    slots: int = Field(default=2, ge=1, le=10_000)
+    max_connections: int = Field(default=2000, ge=1, le=1_000_000)
+    health: EndpointText | None = None
+
+
+class LimitsModel(BorderModel):
+    """Limits of the account, with the defaults of ``AccountLimits``."""
+
+    max_connections: int = Field(default=100_000, ge=0, le=100_000_000)
+    new_per_second: float = Field(default=10_000.0, ge=0, le=10_000_000)
+    retry_ratio: float = Field(default=0.2, ge=0, le=1)
+    opening_timeout: float = Field(default=5.0, gt=0, le=60)
+    tcp_idle_timeout: float = Field(default=3600.0, ge=1, le=604_800)
+    udp_idle_timeout: float = Field(default=120.0, ge=1, le=86_400)
+
+    def to_entity(self) -> AccountLimits:
+        """Return the data class."""
+        return AccountLimits(**self.model_dump())
+
+
+class AccountModel(BorderModel):
+    """An account with every parameter filled in."""
+
+    addresses: list[ServiceAddressModel] = Field(max_length=ACCOUNT_ROWS)
+    targets: list[TargetModel] = Field(max_length=ACCOUNT_ROWS)
+    zones: list[Name] = Field(max_length=ACCOUNT_ROWS)
+    limits: LimitsModel = Field(default_factory=LimitsModel)
+
+
+#: Types a parameter can have.
+PARAMETER_TYPES: dict[str, TypeAdapter[Any]] = {
+    "integer": TypeAdapter(Annotated[int, Field(strict=True, ge=-(2**53), le=2**53)]),
+    "number": TypeAdapter(Annotated[float, Field(strict=True, allow_inf_nan=False)]),
+    "text": TypeAdapter(Annotated[Text, Field(strict=True)]),
+    "flag": TypeAdapter(Annotated[bool, Field(strict=True)]),
+    "address": TypeAdapter(Annotated[IpText, Field(strict=True)]),
+    "endpoint": TypeAdapter(Annotated[EndpointText, Field(strict=True)]),
+    "addresses": TypeAdapter(
+        Annotated[list[ServiceAddressModel], Field(max_length=ACCOUNT_ROWS)]
+    ),
+    "targets": TypeAdapter(
+        Annotated[list[dict[ParameterName, JsonValue]], Field(max_length=ACCOUNT_ROWS)]
+    ),
+    "zones": TypeAdapter(Annotated[list[Name], Field(max_length=ACCOUNT_ROWS)]),
+}
+
+ParameterType = Literal[
+    "integer",
+    "number",
+    "text",
+    "flag",
+    "address",
+    "endpoint",
+    "addresses",
+    "targets",
+    "zones",
+]
+
+
+class ParameterModel(BorderModel):
+    """One typed parameter of a template."""
+
+    type: ParameterType
+    #: Value when the account gives none; without a default it must give one.
+    default: JsonValue = None
+    minimum: float | None = None
+    maximum: float | None = None
+
+    @property
+    def required(self) -> bool:
+        """Whether each account must give a value."""
+        return self.default is None
+
+    @model_validator(mode="after")
+    def check_default(self) -> Self:
+        """Let a default obey its own type and range."""
+        if self.default is not None:
+            self.check(self.default)
+        return self
+
+    def check(self, value: object) -> Any:
+        """Return a value in JSON form; raises ValueError when it does not fit."""
+        adapter = PARAMETER_TYPES[self.type]
+        try:
+            checked = adapter.validate_python(value)
+        except ValidationError as error:
+            raise ValueError(first_finding(error)) from error
+        if isinstance(checked, (int, float)):
+            self.check_range(checked)
+        return adapter.dump_python(checked, mode="json", exclude_defaults=True)
+
+    def check_range(self, value: float) -> None:
+        """Raise ValueError when a number lies outside the range."""
+        if self.minimum is not None and value < self.minimum:
+            raise ValueError(f"{shown(value)} is below {self.minimum}")
+        if self.maximum is not None and value > self.maximum:
+            raise ValueError(f"{shown(value)} is above {self.maximum}")
+
+
+class BodyModel(BorderModel):
+    """What a template makes of its parameters; ``{name}`` stands for one."""
+
+    addresses: JsonValue = Field(default_factory=list)
+    targets: JsonValue = Field(default_factory=list)
+    zones: JsonValue = Field(default_factory=list)
+    limits: dict[str, JsonValue] = Field(default_factory=dict)
+    #: Keys of targets that leave them out.
+    target_defaults: dict[str, JsonValue] = Field(default_factory=dict)
+
+    @field_validator("limits")
+    @classmethod
+    def check_limits(cls, limits: dict[str, JsonValue]) -> dict[str, JsonValue]:
+        """Let the limits be known ones."""
+        return check_keys(limits, LimitsModel)
+
+    @field_validator("target_defaults")
+    @classmethod
+    def check_defaults(cls, defaults: dict[str, JsonValue]) -> dict[str, JsonValue]:
+        """Let the defaults be keys of a target."""
+        return check_keys(defaults, TargetModel)
+
+
+class TemplateModel(BorderModel):
+    """A kind of service, written once by the operators."""
+
+    name: Name
+    parameters: dict[ParameterName, ParameterModel] = Field(default_factory=dict)
+    body: BodyModel
+
+    @classmethod
+    def from_config(cls, raw: object) -> TemplateModel:
+        """Validate a template; raises ConfigurationError naming key and remedy."""
+        try:
+            template = cls.model_validate(raw)
+            size = len(json.dumps(template.model_dump(), allow_nan=False))
+        except ValidationError as error:
+            raise explained(error, "template", cls) from error
+        except (ValueError, RecursionError) as error:
+            raise ConfigurationError(
+                f"template cannot be written as JSON: {error}",
+                "use finite numbers and few levels",
+            ) from error
+        if size > TEMPLATE_BYTES:
+            raise ConfigurationError(
+                f"template has {size} bytes", f"keep to {TEMPLATE_BYTES}"
+            )
+        return template
+
+
+def check_keys(
+    values: dict[str, JsonValue], model: type[BaseModel]
+) -> dict[str, JsonValue]:
+    """Return ``values``; raises ValueError when a key is no field of the model."""
+    unknown = sorted(set(values) - set(model.model_fields))
+    if unknown:
+        known = ", ".join(model.model_fields)
+        raise ValueError(f"unknown key {shown(unknown[0])}; known are {known}")
+    return values
--- /dev/null
+++ b/citronspring/configuration/moves.py
@@ -0,0 +1,120 @@
+"""Move a service address or tunnel from one account to another, in two steps.
+
+An address leaves the first account, every listed zone confirms a revision in
+which it had left, and only then may another account take it. Hosts of a zone
+that has not confirmed may still forward its packets for the first account.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from citronspring.configuration.addresses import addresses_of
+from citronspring.configuration.shards import Release
+from citronspring.errors import MoveRefusedError
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from citronspring.configuration.catalog import Catalog
+    from citronspring.configuration.shards import AccountEntry
+#: The entry of each account a commit changes, None where it deletes one.
+Touched = dict[str, "AccountEntry | None"]
+
+
+def addresses_of_entry(entry: AccountEntry | None) -> frozenset[str]:
+    """Return the addresses of an entry, none when there is no entry."""
+    return addresses_of(entry.rendered.account) if entry else frozenset()
+
+
+def taken_by(catalog: Catalog, touched: Touched) -> dict[str, str]:
+    """Return the account id that newly takes each address.
+
+    Raises MoveRefusedError when two of the changed accounts take one address.
+    """
+    taken: dict[str, str] = {}
+    for account_id, entry in touched.items():
+        before = addresses_of_entry(catalog.entry(account_id))
+        for address in sorted(addresses_of_entry(entry) - before):
+            if address in taken:
+                raise in_use(address, account_id, taken[address])
+            taken[address] = account_id
+    return taken
+
+
+def refuse_used(catalog: Catalog, touched: Touched, taken: Mapping[str, str]) -> None:
+    """Raise MoveRefusedError when an address is still in another account."""
+    for shard in catalog.shards:
+        for address in shard.holders.keys() & taken.keys():
+            holder = shard.holders[address]
+            current = touched.get(holder, shard.accounts[holder])
+            if taken[address] != holder and address in addresses_of_entry(current):
+                raise in_use(address, taken[address], holder)
+
+
+def in_use(address: str, wanted_by: str, held_by: str) -> MoveRefusedError:
+    """Make the error of an address that two accounts want."""
+    return MoveRefusedError(
+        f"account {wanted_by}: {address} belongs to account {held_by}",
+        f"remove it from {held_by} first; a removed target keeps its tunnel until "
+        "it is purged",
+    )
+
+
+def new_releases(
+    catalog: Catalog, touched: Touched, revisions: Mapping[str, int]
+) -> list[Release]:
+    """Return the addresses that leave the changed accounts.
+
+    Parameters
+    ----------
+    catalog : Catalog
+        The configuration before.
+    touched : dict
+        The entries after.
+    revisions : mapping of str to int
+        Revision from which the entry of each changed account is in force.
+    """
+    releases = []
+    for account_id, entry in touched.items():
+        before = addresses_of_entry(catalog.entry(account_id))
+        for address in sorted(before - addresses_of_entry(entry)):
+            releases.append(Release(address, account_id, revisions[account_id]))
+    return releases
+
+
+def releases_in_the_way(
+    taken: Mapping[str, str], releases: Iterable[Release]
+) -> list[Release]:
+    """Return the releases that zones must confirm before the commit."""
+    return [
+        release
+        for release in releases
+        if release.address in taken and taken[release.address] != release.account_id
+    ]
+
+
+def refuse_unconfirmed(
+    releases: Iterable[Release], confirmed: Mapping[str, int]
+) -> None:
+    """Raise MoveRefusedError when a zone may still use an address as before.
+
+    Parameters
+    ----------
+    releases : iterable of Release
+        Addresses that the commit takes.
+    confirmed : mapping of str to int
+        Newest confirmed revision of every listed zone.
+    """
+    for release in releases:
+        waiting = tuple(
+            zone for zone in sorted(confirmed) if confirmed[zone] < release.revision
+        )
+        if waiting:
+            raise MoveRefusedError(
+                f"{release.address} left account {release.account_id} at revision "
+                f"{release.revision}, which has not been confirmed by zone "
+                f"{', '.join(waiting)}",
+                "try again when these zones have confirmed it",
+                zones=waiting,
+            )
--- /dev/null
+++ b/citronspring/configuration/plan.py
@@ -0,0 +1,312 @@
+"""Work out what a change does to a catalog; reads and writes nothing."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, replace
+from typing import TYPE_CHECKING
+
+from citronspring.configuration.changes import (
+    DeleteAccount,
+    DrainTarget,
+    PurgeTarget,
+    PutAccount,
+    PutTemplate,
+    UndrainTarget,
+)
+from citronspring.configuration.difference import (
+    account_difference,
+    mapping_difference,
+    shortened,
+)
+from citronspring.configuration.explain import shown
+from citronspring.configuration.models import TemplateModel
+from citronspring.configuration.rendering import (
+    carry_over,
+    check_account_id,
+    check_references,
+    check_zones,
+    drain,
+    fill_in,
+    purge,
+    render,
+    undrain,
+)
+from citronspring.configuration.shards import (
+    HISTORY_KEPT,
+    AccountEntry,
+    HistoryEntry,
+    TemplateEntry,
+)
+from citronspring.entities import ChangeRecord
+from citronspring.errors import ConflictError, NotFoundError
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+    from typing import Any
+
+    from citronspring.configuration.catalog import Catalog
+    from citronspring.configuration.changes import AnyChange
+    from citronspring.configuration.rendering import Rendered
+
+#: Account id of the record of a change that touched no account.
+NO_ACCOUNT = ""
+
+
+@dataclass(slots=True)
+class Draft:
+    """What a commit is going to write."""
+
+    catalog: Catalog
+    change: AnyChange
+    now: float
+    #: Zones the operators listed; empty to allow any.
+    zones: frozenset[str]
+    #: Entry of each changed account, None where it is deleted.
+    touched: dict[str, AccountEntry | None] = field(default_factory=dict)
+    #: Template that is put, if one is.
+    template: TemplateEntry | None = None
+    #: One for each revision of the commit.
+    records: list[ChangeRecord] = field(default_factory=list)
+
+    @property
+    def next_revision(self) -> int:
+        """Revision of the next record."""
+        return self.catalog.head.revision + len(self.records) + 1
+
+    @property
+    def revision(self) -> int:
+        """Revision of the whole commit."""
+        return self.catalog.head.revision + len(self.records)
+
+    def stage(self, account_id: str, entry: AccountEntry | None) -> None:
+        """Add one changed account and its record."""
+        account = entry.rendered.account if entry else None
+        record = ChangeRecord(
+            self.next_revision, self.change.change_id, account_id, account
+        )
+        self.touched[account_id] = entry
+        self.records.append(record)
+
+    def stage_nothing(self) -> None:
+        """Add the record of a change that touches no account."""
+        record = ChangeRecord(
+            self.next_revision, self.change.change_id, NO_ACCOUNT, None
+        )
+        self.records.append(record)
+
+
+def plan(
+    catalog: Catalog, change: AnyChange, zones: frozenset[str], now: float
+) -> Draft:
+    """Return the draft of a change.
+
+    Raises ConfigurationError, NotFoundError or ConflictError; addresses of
+    other accounts are not looked at yet.
+    """
+    draft = Draft(catalog, change, now, zones)
+    refuse_other_revision(catalog, change)
+    match change:
+        case PutTemplate():
+            put_template(draft, change)
+        case PutAccount():
+            put_account(draft, change)
+        case DeleteAccount(account_id=account_id):
+            known_entry(catalog, account_id)
+            draft.stage(account_id, None)
+        case DrainTarget(account_id=account_id, target_id=target_id):
+            before = known_entry(catalog, account_id)
+            after = drain(before.rendered, target_id, draft.next_revision)
+            stage_rendered(draft, account_id, before, after)
+        case UndrainTarget(account_id=account_id, target_id=target_id):
+            before = known_entry(catalog, account_id)
+            stage_rendered(
+                draft, account_id, before, undrain(before.rendered, target_id)
+            )
+        case PurgeTarget(account_id=account_id, target_id=target_id):
+            before = known_entry(catalog, account_id)
+            stage_rendered(draft, account_id, before, purge(before.rendered, target_id))
+    return draft
+
+
+def put_account(draft: Draft, change: PutAccount) -> None:
+    """Create or replace an account."""
+    check_account_id(change.account_id)
+    template = known_template(draft.catalog, change.template).template
+    what = f"account {change.account_id}"
+    parameters = fill_in(template, change.parameters, what)
+    before = draft.catalog.entry(change.account_id)
+    stage_definition(draft, change.account_id, before, template, parameters)
+
+
+def put_template(draft: Draft, change: PutTemplate) -> None:
+    """Create or replace a template and render its accounts again."""
+    template = TemplateModel.from_config(change.template)
+    check_references(template)
+    for account_id, entry in sorted_entries(draft.catalog):
+        if entry.template != template.name:
+            continue
+        what = f"account {account_id}"
+        parameters = fill_in(template, entry.parameters, what)
+        stage_definition(draft, account_id, entry, template, parameters)
+    if not draft.records:
+        draft.stage_nothing()
+    old = draft.catalog.templates.templates.get(template.name)
+    draft.template = next_template(draft, old, template)
+
+
+def sorted_entries(catalog: Catalog) -> list[tuple[str, AccountEntry]]:
+    """Return the accounts in the order of their ids."""
+    return sorted(catalog.entries(), key=lambda item: item[0])
+
+
+def stage_definition(
+    draft: Draft,
+    account_id: str,
+    before: AccountEntry | None,
+    template: TemplateModel,
+    parameters: Mapping[str, Any],
+) -> None:
+    """Render an account and stage it, unless a template left it as it was."""
+    fresh = render(template, account_id, parameters)
+    check_zones(fresh, draft.zones)
+    rendered_before = before.rendered if before else None
+    rendered = carry_over(rendered_before, fresh, draft.next_revision, draft.now)
+    by_template = isinstance(draft.change, PutTemplate)
+    if by_template and rendered == rendered_before:
+        return
+    entry = AccountEntry(template.name, dict(parameters), rendered, ())
+    stage_entry(draft, account_id, before, entry)
+
+
+def stage_rendered(
+    draft: Draft, account_id: str, before: AccountEntry, rendered: Rendered
+) -> None:
+    """Stage an account whose targets changed and whose definition did not."""
+    stage_entry(draft, account_id, before, replace(before, rendered=rendered))
+
+
+def stage_entry(
+    draft: Draft, account_id: str, before: AccountEntry | None, after: AccountEntry
+) -> None:
+    """Stage an account with its history."""
+    lines = account_difference(before, after)
+    if isinstance(draft.change, PutTemplate):
+        lines = (f"template {after.template} changed", *lines)
+    older = before.history if before else ()
+    history = next_history(draft, older, lines)
+    draft.stage(account_id, replace(after, history=history))
+
+
+def next_history(
+    draft: Draft, older: tuple[HistoryEntry, ...], difference: tuple[str, ...]
+) -> tuple[HistoryEntry, ...]:
+    """Return a history with this change as the newest."""
+    change = draft.change
+    newest = HistoryEntry(
+        draft.next_revision, change.change_id, change.author, difference
+    )
+    return (newest, *older[: HISTORY_KEPT - 1])
+
+
+def next_template(
+    draft: Draft, old: TemplateEntry | None, template: TemplateModel
+) -> TemplateEntry:
+    """Return a template with this change in its history."""
+    lines = ["created"]
+    if old is not None:
+        lines = mapping_difference(old.template.model_dump(), template.model_dump())
+    change = draft.change
+    newest = HistoryEntry(
+        draft.revision, change.change_id, change.author, shortened(lines)
+    )
+    older = old.history if old else ()
+    return TemplateEntry(template, (newest, *older[: HISTORY_KEPT - 1]))
+
+
+def known_entry(catalog: Catalog, account_id: str) -> AccountEntry:
+    """Return an account's entry; raises NotFoundError."""
+    entry = catalog.entry(account_id)
+    if entry is None:
+        raise NotFoundError(
+            f"there is no account {shown(account_id)}", "create it or list the accounts"
+        )
+    return entry
+
+
+def known_template(catalog: Catalog, name: str) -> TemplateEntry:
+    """Return a template; raises NotFoundError."""
+    entry = catalog.templates.templates.get(name)
+    if entry is None:
+        raise NotFoundError(
+            f"there is no template {shown(name)}", "create it or list the templates"
+        )
+    return entry
+
+
+def subject_of(change: AnyChange) -> str:
+    """Return what a change is about, as the head remembers it."""
+    match change:
+        case PutTemplate(template=template):
+            return f"template:{template_name(template)}"
+        case _:
+            return change.account_id
+
+
+def template_name(template: object) -> str:
+    """Return the name in a template that may not be valid."""
+    name = template.get("name") if hasattr(template, "get") else None
+    return name if isinstance(name, str) else ""
+
+
+def current_history(catalog: Catalog, change: AnyChange) -> tuple[HistoryEntry, ...]:
+    """Return the history of what a change is about, empty if there is nothing."""
+    entry: AccountEntry | TemplateEntry | None
+    match change:
+        case PutTemplate(template=template):
+            entry = catalog.templates.templates.get(template_name(template))
+        case _:
+            entry = catalog.entry(change.account_id)
+    return entry.history if entry else ()
+
+
+def current_revision(catalog: Catalog, change: AnyChange) -> int:
+    """Return the last revision of what a change is about, 0 if there is nothing."""
+    history = current_history(catalog, change)
+    return history[0].revision if history else 0
+
+
+def refuse_other_revision(catalog: Catalog, change: AnyChange) -> None:
+    """Raise ConflictError when the operator had seen another revision."""
+    if change.if_revision is None:
+        return
+    if current_revision(catalog, change) != change.if_revision:
+        raise conflict(catalog, change)
+
+
+def conflict(catalog: Catalog, change: AnyChange) -> ConflictError:
+    """Make the error that shows the other operator's change."""
+    subject = subject_of(change)
+    history = current_history(catalog, change)
+    remedy = "look at the other change and make yours again on top of it"
+    if history:
+        other = history[0]
+        text = "; ".join(other.difference) or "nothing differs"
+        return ConflictError(
+            f"{shown(subject)} was changed by {other.author} at revision "
+            f"{other.revision} (change {other.change_id}): {text}",
+            remedy,
+            change_id=other.change_id,
+            revision=other.revision,
+            difference=other.difference,
+        )
+    gone = catalog.head.last_change_of(subject)
+    if gone is None:
+        return ConflictError(f"{shown(subject)} does not exist", remedy)
+    return ConflictError(
+        f"{shown(subject)} was deleted by {gone.author} at revision {gone.revision} "
+        f"(change {gone.change_id})",
+        remedy,
+        change_id=gone.change_id,
+        revision=gone.revision,
+        difference=("deleted",),
+    )
--- /dev/null
+++ b/citronspring/configuration/reader.py
@@ -0,0 +1,151 @@
+"""Read the head and its shards, and never go back to an older one."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, TypeVar
+
+from citronspring.configuration.catalog import Catalog
+from citronspring.configuration.shards import (
+    HEAD,
+    HEAD_KEY,
+    SHARD,
+    TEMPLATES,
+    Head,
+    Shard,
+    Templates,
+    decode,
+    digest_of,
+    shard_key,
+)
+from citronspring.errors import PlatformUnavailableError, StoredValueError
+from citronspring.platform.port import ABSENT
+
+if TYPE_CHECKING:
+    from pydantic import TypeAdapter
+
+    from citronspring.platform.port import Platform, StoredValue
+
+#: Reads after which stale answers count as an outage.
+READ_ATTEMPTS = 8
+
+T = TypeVar("T")
+
+
+@dataclass(slots=True)
+class CatalogReader:
+    """The newest head known, and the newest catalog read.
+
+    Reads can be stale. A head replaces the known one only when both its version
+    and its revision are higher, so that no answer brings an old configuration
+    back.
+    """
+
+    platform: Platform
+    version: int = ABSENT
+    head: Head = field(default_factory=Head)
+    catalog: Catalog = field(default_factory=Catalog.empty)
+
+    async def refresh(self) -> Head:
+        """Read the head and return the newest one known."""
+        stored = await self.platform.get(HEAD_KEY)
+        if stored is not None:
+            self.adopt(stored)
+        return self.head
+
+    async def refresh_past(self, version: int) -> None:
+        """Read the head until it is newer than ``version``.
+
+        Raises PlatformUnavailableError when all answers are older.
+        """
+        for _ in range(READ_ATTEMPTS):
+            await self.refresh()
+            if self.version > version:
+                return
+        raise stale()
+
+    async def watch(self, after_revision: int) -> int:
+        """Wait for a head above a revision and return its revision."""
+        while self.head.revision <= after_revision:
+            stored = await self.platform.watch(HEAD_KEY, self.version)
+            if stored.version <= self.version:
+                raise stale()
+            self.adopt(stored)
+        return self.head.revision
+
+    def adopt(self, stored: StoredValue) -> None:
+        """Make a stored head the known one, if it is newer."""
+        if stored.version <= self.version:
+            return
+        head = decode(HEAD, stored.value)
+        if head.revision < self.head.revision:
+            raise StoredValueError(
+                f"the platform's head went from revision {self.head.revision} back "
+                f"to {head.revision}",
+                "restore the key-value service from a newer copy",
+            )
+        self.version, self.head = stored.version, head
+
+    def adopt_catalog(self, catalog: Catalog) -> None:
+        """Make a catalog the known one, if it is newer."""
+        if catalog.version > self.version:
+            self.version, self.head = catalog.version, catalog.head
+        if catalog.version > self.catalog.version:
+            self.catalog = catalog
+
+    async def read_catalog(self) -> Catalog:
+        """Read what the known head names and the known catalog has not.
+
+        A shard that is gone was replaced after this head: read a newer one.
+        """
+        for _ in range(READ_ATTEMPTS):
+            catalog = await self.read_shards(self.version, self.head)
+            if catalog is not None:
+                self.adopt_catalog(catalog)
+                return catalog
+            await self.refresh()
+        raise stale()
+
+    async def read_shards(self, version: int, head: Head) -> Catalog | None:
+        """Return the catalog of one head; None when a shard is gone."""
+        known = self.catalog
+        if known.version == version:
+            return known
+        have = dict(zip(known.head.shards, known.shards, strict=True))
+        shards = []
+        for digest in head.shards:
+            shard = have.get(digest)
+            if shard is None:
+                shard = await self.read_value(SHARD, digest, Shard())
+            if shard is None:
+                return None
+            shards.append(shard)
+        templates: Templates | None = known.templates
+        if head.templates != known.head.templates:
+            templates = await self.read_value(TEMPLATES, head.templates, Templates())
+        if templates is None:
+            return None
+        return Catalog(version, head, tuple(shards), templates)
+
+    async def read_value(
+        self, adapter: TypeAdapter[T], digest: str, empty: T
+    ) -> T | None:
+        """Read an immutable value; ``empty`` for no digest, None if it is gone."""
+        if not digest:
+            return empty
+        stored = await self.platform.get(shard_key(digest))
+        if stored is None:
+            return None
+        if digest_of(stored.value) != digest:
+            raise StoredValueError(
+                f"shard {digest} does not hold what its name says",
+                "restore the key-value service from an undamaged copy",
+            )
+        return decode(adapter, stored.value)
+
+
+def stale() -> PlatformUnavailableError:
+    """Make the error of a platform that answers with old values only."""
+    return PlatformUnavailableError(
+        "the platform answers with old values only", "try again in a moment"
+    )
--- /dev/null
+++ b/citronspring/configuration/rendering.py
@@ -0,0 +1,328 @@
+"""Render an account from its template, and carry over what its targets were."""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING, Any
+
+from pydantic import JsonValue, TypeAdapter, ValidationError
+
+from citronspring.configuration.explain import explained, remedy_of_unknown, shown
+from citronspring.configuration.models import AccountModel, Name, TargetModel
+from citronspring.entities import Account, Endpoint, Target
+from citronspring.errors import ConfigurationError, NotFoundError
+
+if TYPE_CHECKING:
+    from collections.abc import Hashable, Iterable, Mapping
+
+    from citronspring.configuration.models import TemplateModel
+
+#: A string that stands for a parameter.
+REFERENCE = re.compile(r"\{([a-z][a-z0-9_]*)\}")
+
+#: Seconds for which a target removed from the parameters stays listed.
+RETENTION_SECONDS = 7 * 86_400.0
+
+NAME = TypeAdapter(Name)
+
+
+@dataclass(frozen=True, slots=True)
+class Rendered:
+    """An account and until when its removed targets stay listed."""
+
+    account: Account
+    #: Deadline by target id, for targets the parameters no longer have.
+    retain_until: dict[str, float]
+
+
+def check_account_id(account_id: str) -> None:
+    """Raise ConfigurationError when a name cannot be an account's."""
+    try:
+        NAME.validate_python(account_id)
+    except ValidationError as error:
+        raise explained(error, "account id") from error
+
+
+def fill_in(
+    template: TemplateModel, parameters: Mapping[str, Any], what: str
+) -> dict[str, Any]:
+    """Check an account's parameters and return them in JSON form.
+
+    Defaults are left out: they follow the template when it changes.
+    """
+    if not all(isinstance(name, str) for name in parameters):
+        raise ConfigurationError(f"{what}: a parameter's name is no text", "quote it")
+    unknown = sorted(set(parameters) - set(template.parameters))
+    if unknown:
+        raise ConfigurationError(
+            f"{what}: template {template.name} has no parameter {shown(unknown[0])}",
+            remedy_of_unknown(unknown[0], list(template.parameters)),
+        )
+    return {
+        name: fill_in_one(template, name, value, what)
+        for name, value in parameters.items()
+    }
+
+
+def fill_in_one(template: TemplateModel, name: str, value: Any, what: str) -> Any:
+    """Check one parameter and return it in JSON form."""
+    parameter = template.parameters[name]
+    try:
+        return parameter.check(value)
+    except (ValueError, RecursionError) as error:
+        raise ConfigurationError(
+            f"{what}: parameter {name}: {error}", f"correct {name}"
+        ) from error
+
+
+def check_references(template: TemplateModel) -> None:
+    """Raise ConfigurationError when a body names an undeclared parameter."""
+    for name in sorted(references_in(template.body.model_dump())):
+        if name not in template.parameters:
+            raise ConfigurationError(
+                f"template {template.name}: body uses {{{shown(name)}}}",
+                f"declare the parameter {shown(name)}",
+            )
+
+
+def references_in(value: JsonValue) -> set[str]:
+    """Return the names of the parameters that a value stands for."""
+    match value:
+        case str():
+            found = REFERENCE.fullmatch(value)
+            return {found[1]} if found else set()
+        case list():
+            return set().union(*(references_in(item) for item in value))
+        case dict():
+            return set().union(*(references_in(item) for item in value.values()))
+    return set()
+
+
+def substitute(value: JsonValue, values: Mapping[str, Any]) -> Any:
+    """Return a value with the parameters in the place of their names."""
+    match value:
+        case str():
+            found = REFERENCE.fullmatch(value)
+            return values[found[1]] if found else value
+        case list():
+            return [substitute(item, values) for item in value]
+        case dict():
+            return {key: substitute(item, values) for key, item in value.items()}
+    return value
+
+
+def render(
+    template: TemplateModel, account_id: str, parameters: Mapping[str, Any]
+) -> Account:
+    """Render an account as if all its targets were new at revision 0.
+
+    Raises ConfigurationError naming the account, key and value.
+    """
+    what = f"account {account_id}"
+    values = all_values(template, parameters, what)
+    raw = substitute(template.body.model_dump(), values)
+    defaults = raw.pop("target_defaults")
+    if isinstance(raw["targets"], list):
+        raw["targets"] = [with_defaults(item, defaults) for item in raw["targets"]]
+    try:
+        model = AccountModel.model_validate(raw)
+    except ValidationError as error:
+        raise explained(error, what, TargetModel) from error
+    account = to_account(account_id, model)
+    check_unique(account, what)
+    return account
+
+
+def all_values(
+    template: TemplateModel, parameters: Mapping[str, Any], what: str
+) -> dict[str, Any]:
+    """Return the parameters with the template's defaults filled in."""
+    values = {}
+    for name, parameter in template.parameters.items():
+        if name not in parameters and parameter.required:
+            raise ConfigurationError(f"{what}: no parameter {name}", f"add {name}")
+        values[name] = parameters.get(name, parameter.default)
+    return values
+
+
+def with_defaults(target: Any, defaults: dict[str, Any]) -> Any:
+    """Return a target with the template's defaults for keys it leaves out."""
+    return {**defaults, **target} if isinstance(target, dict) else target
+
+
+def to_account(account_id: str, model: AccountModel) -> Account:
+    """Return the data class of an account."""
+    return Account(
+        account_id,
+        tuple(sorted(address.to_entity() for address in model.addresses)),
+        tuple(to_target(account_id, target) for target in model.targets),
+        tuple(model.zones),
+        model.limits.to_entity(),
+    )
+
+
+def to_target(account_id: str, model: TargetModel) -> Target:
+    """Return the data class of a target."""
+    return Target(
+        model.target_id,
+        account_id,
+        Endpoint.from_text(model.tunnel),
+        model.zone,
+        model.slots,
+        model.max_connections,
+        Endpoint.from_text(model.health) if model.health else None,
+    )
+
+
+def check_unique(account: Account, what: str) -> None:
+    """Raise ConfigurationError when an account lists one thing twice."""
+    refuse_repeats(account.addresses, f"{what}: service address")
+    refuse_repeats((t.target_id for t in account.targets), f"{what}: target")
+    refuse_repeats((t.tunnel for t in account.targets), f"{what}: tunnel")
+    refuse_repeats(account.zones, f"{what}: zone")
+
+
+def refuse_repeats(values: Iterable[Hashable], what: str) -> None:
+    """Raise ConfigurationError when a value comes twice."""
+    seen = set()
+    for value in values:
+        if value in seen:
+            raise ConfigurationError(f"{what} {value} comes twice", "list it once")
+        seen.add(value)
+
+
+def check_zones(account: Account, zones: frozenset[str]) -> None:
+    """Raise ConfigurationError when an account names a zone that is none."""
+    named = [*account.zones, *(target.zone for target in account.targets)]
+    for zone in named:
+        if zones and zone not in zones:
+            raise ConfigurationError(
+                f"account {account.account_id}: zone {zone} is not listed",
+                f"use one of {', '.join(sorted(zones))}",
+            )
+    for target in account.targets:
+        if target.zone not in account.zones:
+            raise ConfigurationError(
+                f"account {account.account_id}: target {target.target_id} is in "
+                f"zone {target.zone}, which is none of the account's zones",
+                f"add {target.zone} to its zones",
+            )
+
+
+def carry_over(
+    before: Rendered | None, fresh: Account, revision: int, now: float
+) -> Rendered:
+    """Merge a fresh account with what its targets were.
+
+    The revisions of a target decide where its flows may live, on every host: a
+    re-render that moved them would send packets of live flows elsewhere.
+
+    Parameters
+    ----------
+    before : Rendered or None
+        The account so far, None if it is new.
+    fresh : Account
+        The account as rendered from its parameters.
+    revision : int
+        Revision at which the result will be in force.
+    now : float
+        Time from which the retention of removed targets runs.
+    """
+    before = before or Rendered(Account(fresh.account_id), {})
+    old = {target.target_id: target for target in before.account.targets}
+    new_ids = {target.target_id for target in fresh.targets}
+    targets = [
+        carry_target(old.get(target.target_id), target, before, revision)
+        for target in fresh.targets
+    ]
+    retain_until = {}
+    for target_id, target in old.items():
+        deadline = before.retain_until.get(target_id, now + RETENTION_SECONDS)
+        if target_id in new_ids or deadline <= now:
+            continue
+        targets.append(leave(target, revision))
+        retain_until[target_id] = deadline
+    account = replace(fresh, targets=tuple(sorted(targets, key=target_order)))
+    check_unique(account, f"account {fresh.account_id}, leaving targets included")
+    return Rendered(account, retain_until)
+
+
+def carry_target(
+    old: Target | None, fresh: Target, before: Rendered, revision: int
+) -> Target:
+    """Return a listed target with the revisions it had."""
+    if old is None:
+        return replace(fresh, added_revision=revision)
+    if old.tunnel != fresh.tunnel:
+        raise ConfigurationError(
+            f"account {fresh.account_id}: target {fresh.target_id} has the tunnel "
+            f"{old.tunnel} and flows may live there; {fresh.tunnel} is another server",
+            "give the new server a target id of its own",
+        )
+    put_back = fresh.target_id in before.retain_until
+    leaving_revision = None if put_back else old.leaving_revision
+    return replace(
+        fresh, added_revision=old.added_revision, leaving_revision=leaving_revision
+    )
+
+
+def leave(target: Target, revision: int) -> Target:
+    """Return a target that takes no new flows from ``revision`` on."""
+    return target if target.leaving else replace(target, leaving_revision=revision)
+
+
+def drain(before: Rendered, target_id: str, revision: int) -> Rendered:
+    """Let a target leave; raises NotFoundError when there is none."""
+    target = find_target(before, target_id)
+    return replace_target(before, leave(target, revision))
+
+
+def undrain(before: Rendered, target_id: str) -> Rendered:
+    """Let a drained target take new flows again."""
+    target = find_target(before, target_id)
+    if target_id in before.retain_until:
+        raise ConfigurationError(
+            f"target {target_id} was removed from the parameters of "
+            f"{target.account_id}",
+            "put it back into the parameters",
+        )
+    return replace_target(before, replace(target, leaving_revision=None))
+
+
+def purge(before: Rendered, target_id: str) -> Rendered:
+    """Forget a target that was removed from the parameters."""
+    target = find_target(before, target_id)
+    if target_id not in before.retain_until:
+        raise ConfigurationError(
+            f"target {target_id} is in the parameters of {target.account_id}",
+            "remove it from them first",
+        )
+    kept = tuple(t for t in before.account.targets if t.target_id != target_id)
+    retain_until = {k: v for k, v in before.retain_until.items() if k != target_id}
+    return Rendered(replace(before.account, targets=kept), retain_until)
+
+
+def find_target(rendered: Rendered, target_id: str) -> Target:
+    """Return a target; raises NotFoundError when there is none."""
+    for target in rendered.account.targets:
+        if target.target_id == target_id:
+            return target
+    raise NotFoundError(
+        f"account {rendered.account.account_id} has no target {shown(target_id)}",
+        "list the account's targets",
+    )
+
+
+def replace_target(rendered: Rendered, target: Target) -> Rendered:
+    """Return an account with one target replaced."""
+    targets = tuple(
+        target if old.target_id == target.target_id else old
+        for old in rendered.account.targets
+    )
+    return replace(rendered, account=replace(rendered.account, targets=targets))
+
+
+def target_order(target: Target) -> str:
+    """Order targets by id."""
+    return target.target_id
--- /dev/null
+++ b/citronspring/configuration/store.py
@@ -0,0 +1,348 @@
+"""Commit changes to the configuration and read it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, replace
+from typing import TYPE_CHECKING
+
+from citronspring.configuration.changes import (
+    check_change,
+    make_change_id,
+    revision_seen,
+)
+from citronspring.configuration.moves import (
+    refuse_unconfirmed,
+    refuse_used,
+    releases_in_the_way,
+    taken_by,
+)
+from citronspring.configuration.plan import (
+    conflict,
+    current_revision,
+    known_entry,
+    known_template,
+    plan,
+)
+from citronspring.configuration.prepare import prepare
+from citronspring.configuration.reader import CatalogReader
+from citronspring.configuration.shards import HEAD_KEY, shard_key, shard_of
+from citronspring.configuration.zones import ZoneConfirmations
+from citronspring.errors import (
+    CitronspringError,
+    OutcomeUnknownError,
+    PlatformUnavailableError,
+    SettingsError,
+    VersionMismatchError,
+)
+from citronspring.platform.port import ABSENT
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from citronspring.configuration.catalog import Catalog
+    from citronspring.configuration.changes import AnyChange
+    from citronspring.configuration.plan import Draft
+    from citronspring.configuration.prepare import Prepared
+    from citronspring.configuration.shards import AccountEntry, Head, TemplateEntry
+    from citronspring.entities import ChangeRecord, Snapshot
+    from citronspring.platform.port import Platform
+
+#: Heads of other operators on top of which one commit is tried again.
+REBASE_ATTEMPTS = 16
+
+#: Releases in a shard above which a commit looks for confirmed ones.
+RELEASES_KEPT = 64
+
+#: Times one write is sent when its answers are lost.
+WRITE_ATTEMPTS = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Committed:
+    """A change is accepted and stays in force."""
+
+    #: Last revision of the commit.
+    revision: int
+
+
+@dataclass(slots=True)
+class Attempt:
+    """What one commit remembers from one head to the next."""
+
+    #: Revision of the account or template when the commit started.
+    started_from: int
+    #: Digests written for heads that never came.
+    orphans: list[str] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class ConfigurationStore:
+    """The configuration in the platform, as one process sees it."""
+
+    platform: Platform
+    #: Zones the operators listed.
+    zones: frozenset[str]
+    reader: CatalogReader
+    confirmations: ZoneConfirmations
+
+    @classmethod
+    def from_platform(
+        cls, platform: Platform, zones: Iterable[str]
+    ) -> ConfigurationStore:
+        """Make a store that knows nothing yet.
+
+        Parameters
+        ----------
+        platform : Platform
+            The key-value service.
+        zones : iterable of str
+            The listed zones: accounts may name no other, and addresses move
+            only when all of them have confirmed. Raises SettingsError when
+            there is none, as addresses would then move unconfirmed.
+        """
+        listed = frozenset(zones)
+        if not listed:
+            raise SettingsError("no zones are listed", "list every availability zone")
+        reader = CatalogReader(platform)
+        confirmations = ZoneConfirmations(platform)
+        return cls(platform, listed, reader, confirmations)
+
+    def new_change_id(self, token: str) -> str:
+        """Make a change id from the newest revision known."""
+        return make_change_id(self.reader.head.revision, token)
+
+    async def commit(self, change: AnyChange, now: float) -> Committed:
+        """Put a change in force, once, however often it is sent.
+
+        Parameters
+        ----------
+        change : Change
+            Sent again after a failure, it must have the same change id.
+        now : float
+            Time from which the retention of removed targets runs.
+
+        Returns
+        -------
+        Committed
+            Also when an earlier call with this change id committed it.
+
+        Raises
+        ------
+        ConfigurationError, NotFoundError, MoveRefusedError, ConflictError
+            The change is refused; this call changed nothing.
+        PlatformUnavailableError
+            The change is not accepted; this call changed nothing.
+        OutcomeUnknownError
+            The change may be committed: send it again with the same change id.
+        """
+        check_change(change)
+        try:
+            await self.reader.refresh()
+            catalog = await self.reader.read_catalog()
+        except PlatformUnavailableError as error:
+            raise not_accepted(error) from error
+        attempt = Attempt(current_revision(catalog, change))
+        committed = self.find_committed(catalog.head, change)
+        if committed is not None:
+            return committed
+        for _ in range(REBASE_ATTEMPTS):
+            if current_revision(catalog, change) != attempt.started_from:
+                raise conflict(catalog, change)
+            prepared = await self.prepare(catalog, change, attempt, now)
+            if await self.swap_head(prepared, change):
+                await self.delete_dropped(prepared)
+                return Committed(prepared.catalog.head.revision)
+            committed = self.find_committed(self.reader.head, change)
+            if committed is not None:
+                return committed
+            catalog = await self.next_catalog()
+        raise not_accepted("other operators commit all the time")
+
+    def find_committed(self, head: Head, change: AnyChange) -> Committed | None:
+        """Return how a change was committed, None if it certainly was not.
+
+        The head remembers some hundred change ids. One made before the oldest
+        of them could have been committed and forgotten; committing it would
+        perhaps do it twice, so it is refused.
+        """
+        known = head.find_change(change.change_id)
+        if known is not None:
+            return Committed(known.revision)
+        seen = revision_seen(change.change_id)
+        if seen > head.revision:
+            raise not_accepted(f"revision {seen} of the change id is not known here")
+        if seen < head.changes_floor:
+            raise OutcomeUnknownError(
+                f"change {change.change_id} was made at revision {seen}; changes up "
+                f"to revision {head.changes_floor} are forgotten",
+                "read the history, and make the change under a new id if it is missing",
+            )
+        return None
+
+    async def prepare(
+        self, catalog: Catalog, change: AnyChange, attempt: Attempt, now: float
+    ) -> Prepared:
+        """Check a change against a catalog and write its shards."""
+        draft = plan(catalog, change, self.zones, now)
+        try:
+            confirmed = await self.check_moves(draft)
+            prepared = prepare(draft, attempt.orphans, confirmed)
+            for digest, value in prepared.values.items():
+                await self.write_shard(digest, value)
+                attempt.orphans.append(digest)
+        except PlatformUnavailableError as error:
+            raise not_accepted(error) from error
+        return prepared
+
+    async def check_moves(self, draft: Draft) -> dict[str, int]:
+        """Refuse addresses of other accounts; return the zones' confirmations.
+
+        They are read only when an address that the draft takes left another
+        account before.
+        """
+        catalog = draft.catalog
+        taken = taken_by(catalog, draft.touched)
+        refuse_used(catalog, draft.touched, taken)
+        in_the_way = releases_in_the_way(taken, catalog.releases())
+        if not in_the_way and not crowded(draft):
+            return {}
+        zones = self.zones | zones_of(catalog)
+        confirmed = await self.confirmations.read(zones)
+        refuse_unconfirmed(in_the_way, confirmed)
+        return confirmed
+
+    async def write_shard(self, digest: str, value: bytes) -> None:
+        """Write an immutable value; it may be there already."""
+        for _ in range(WRITE_ATTEMPTS):
+            try:
+                await self.platform.put(shard_key(digest), value, ABSENT)
+            except VersionMismatchError:
+                return
+            except OutcomeUnknownError:
+                continue
+            return
+        raise PlatformUnavailableError("no answer to the write of a shard")
+
+    async def swap_head(self, prepared: Prepared, change: AnyChange) -> bool:
+        """Compare-and-swap the head; False when another one is there.
+
+        A lost answer leaves two cases, so the same swap is sent again. If the
+        first took effect, the second finds another version, and the head tells
+        by the change id whose it is. If it did not, the second may take effect
+        and the first, should it still arrive, finds another version.
+        """
+        base = prepared.catalog.version
+        uncertain = False
+        for _ in range(WRITE_ATTEMPTS):
+            try:
+                version = await self.platform.put(HEAD_KEY, prepared.head_value, base)
+            except VersionMismatchError:
+                await self.read_winner(base, change, uncertain)
+                return False
+            except OutcomeUnknownError:
+                uncertain = True
+            except PlatformUnavailableError as error:
+                if not uncertain:
+                    raise not_accepted(error) from error
+            else:
+                self.reader.adopt_catalog(replace(prepared.catalog, version=version))
+                return True
+        raise outcome_unknown(change)
+
+    async def read_winner(self, base: int, change: AnyChange, uncertain: bool) -> None:
+        """Read the head that replaced ``base``, this commit's own perhaps."""
+        try:
+            await self.reader.refresh_past(base)
+        except CitronspringError as error:
+            if uncertain:
+                raise outcome_unknown(change) from error
+            raise not_accepted(error) from error
+
+    async def next_catalog(self) -> Catalog:
+        """Read the catalog of the head that won."""
+        try:
+            return await self.reader.read_catalog()
+        except PlatformUnavailableError as error:
+            raise not_accepted(error) from error
+
+    async def delete_dropped(self, prepared: Prepared) -> None:
+        """Delete shards out of reach; left behind, they only take up room."""
+        for digest in prepared.dropped:
+            try:
+                await self.platform.delete(shard_key(digest))
+            except (OutcomeUnknownError, PlatformUnavailableError):
+                return
+
+    async def read_snapshot(self) -> Snapshot:
+        """Read every account; the revision is never below one read before."""
+        await self.reader.refresh()
+        return (await self.reader.read_catalog()).snapshot()
+
+    async def read_records(
+        self, after_revision: int
+    ) -> tuple[ChangeRecord, ...] | None:
+        """Read the change records above a revision, oldest first.
+
+        There is one for each revision; a change that touched no account has a
+        record with an empty account id and no account. None when some are
+        forgotten: take the snapshot.
+        """
+        head = await self.reader.refresh()
+        if after_revision < head.records_floor:
+            return None
+        return tuple(r for r in head.records if r.revision > after_revision)
+
+    async def watch_head(self, after_revision: int) -> int:
+        """Wait for a revision above ``after_revision`` and return it."""
+        return await self.reader.watch(after_revision)
+
+    async def read_catalog(self) -> Catalog:
+        """Read definitions, rendered accounts and histories of everything."""
+        await self.reader.refresh()
+        return await self.reader.read_catalog()
+
+    async def read_account(self, account_id: str) -> AccountEntry:
+        """Read one account with its history; raises NotFoundError."""
+        return known_entry(await self.read_catalog(), account_id)
+
+    async def read_template(self, name: str) -> TemplateEntry:
+        """Read one template with its history; raises NotFoundError."""
+        return known_template(await self.read_catalog(), name)
+
+    async def confirm_zone(self, zone: str, revision: int) -> int:
+        """Tell that all hosts of a zone are at ``revision`` or above.
+
+        Returns what the zone has confirmed, which never goes down.
+        """
+        return await self.confirmations.confirm(zone, revision)
+
+
+def crowded(draft: Draft) -> bool:
+    """Whether a shard to be written should forget confirmed releases."""
+    shards = draft.catalog.shards
+    indexes = {shard_of(account_id, len(shards)) for account_id in draft.touched}
+    return any(len(shards[index].releases) > RELEASES_KEPT for index in indexes)
+
+
+def zones_of(catalog: Catalog) -> frozenset[str]:
+    """Return the zones that accounts name."""
+    zones: set[str] = set()
+    for _, entry in catalog.entries():
+        zones.update(entry.rendered.account.zones)
+    return frozenset(zones)
+
+
+def not_accepted(cause: object) -> PlatformUnavailableError:
+    """Make the error of a change that this call did not put in force."""
+    return PlatformUnavailableError(
+        f"not accepted, this call changed nothing: {cause}",
+        "send it again with the same change id",
+    )
+
+
+def outcome_unknown(change: AnyChange) -> OutcomeUnknownError:
+    """Make the error of a change that may be in force."""
+    return OutcomeUnknownError(
+        f"no answer tells whether change {change.change_id} was committed",
+        "send it again with the same change id, it is never committed twice",
+    )
--- /dev/null
+++ b/citronspring/configuration/zones.py
@@ -0,0 +1,76 @@
+"""What the zones have confirmed: one small key for each."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from citronspring.errors import (
+    OutcomeUnknownError,
+    PlatformUnavailableError,
+    StoredValueError,
+    VersionMismatchError,
+)
+from citronspring.platform.port import ABSENT
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from citronspring.platform.port import Platform, StoredValue
+
+#: Times a confirmation is written over those of other hosts.
+CONFIRM_ATTEMPTS = 8
+
+
+@dataclass(slots=True)
+class ZoneConfirmations:
+    """The confirmed revision of each zone, in the platform."""
+
+    platform: Platform
+
+    async def read(self, zones: Iterable[str]) -> dict[str, int]:
+        """Read what each zone has confirmed, 0 for nothing."""
+        return {
+            zone: confirmed_revision(await self.platform.get(zone_key(zone)))
+            for zone in sorted(zones)
+        }
+
+    async def confirm(self, zone: str, revision: int) -> int:
+        """Raise a zone's confirmed revision and return what is confirmed.
+
+        A host that lags would otherwise take back what the zone confirmed. The
+        compare-and-swap fails for it, also when its read was stale.
+        """
+        key = zone_key(zone)
+        for _ in range(CONFIRM_ATTEMPTS):
+            stored = await self.platform.get(key)
+            confirmed = confirmed_revision(stored)
+            if confirmed >= revision:
+                return confirmed
+            expected = stored.version if stored else ABSENT
+            try:
+                await self.platform.put(key, str(revision).encode(), expected)
+            except (VersionMismatchError, OutcomeUnknownError):
+                continue
+            return revision
+        raise PlatformUnavailableError(
+            f"zone {zone} could not confirm revision {revision}",
+            "confirm it again in a moment",
+        )
+
+
+def zone_key(zone: str) -> str:
+    """Return the platform key of a zone's confirmation."""
+    return f"confirmed/{zone}"
+
+
+def confirmed_revision(stored: StoredValue | None) -> int:
+    """Read a confirmation, 0 when there is none."""
+    if stored is None:
+        return 0
+    try:
+        return int(stored.value)
+    except ValueError as error:
+        raise StoredValueError(
+            "a zone's confirmation is no revision", "delete the zone's key"
+        ) from error
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, laid out as the package is."""
--- /dev/null
+++ b/tests/test_configuration/stepping.py
@@ -0,0 +1,135 @@
+"""Run several operators one platform call at a time, in any order."""
+
+from __future__ import annotations
+
+import types
+
+from citronspring.configuration.changes import PutAccount, PutTemplate
+from citronspring.configuration.store import ConfigurationStore
+from citronspring.errors import CitronspringError
+from citronspring.platform.memory import MemoryPlatform
+
+ZONES = ("pakhuis", "zetterij")
+
+TEMPLATE = {
+    "name": "web",
+    "parameters": {
+        "ip": {"type": "address"},
+        "targets": {"type": "targets", "default": []},
+        "zones": {"type": "zones", "default": ["pakhuis", "zetterij"]},
+        "limit": {"type": "integer", "default": 100, "minimum": 1, "maximum": 1000},
+    },
+    "body": {
+        "addresses": [{"ip": "{ip}", "port": 443}],
+        "targets": "{targets}",
+        "zones": "{zones}",
+        "limits": {"max_connections": "{limit}"},
+        "target_defaults": {"slots": 3},
+    },
+}
+
+
+@types.coroutine
+def pause(call):
+    yield call
+
+
+class SteppedPlatform:
+    """Pause before each call, so that a test decides who calls next."""
+
+    def __init__(self, platform: MemoryPlatform) -> None:
+        self.platform = platform
+
+    async def get(self, key):
+        await pause(("get", key))
+        return await self.platform.get(key)
+
+    async def put(self, key, value, expected):
+        await pause(("put", key))
+        return await self.platform.put(key, value, expected)
+
+    async def delete(self, key):
+        await pause(("delete", key))
+        await self.platform.delete(key)
+
+
+class Operator:
+    """One call of a store, run step by step."""
+
+    def __init__(self, coroutine) -> None:
+        self.coroutine = coroutine
+        self.next_call = None
+        self.result = None
+        self.error = None
+        self.done = False
+        self.step()
+
+    def step(self) -> None:
+        """Let the paused call happen and run to the next one."""
+        try:
+            self.next_call = self.coroutine.send(None)
+        except StopIteration as stop:
+            self.done, self.result = True, stop.value
+        except CitronspringError as error:
+            self.done, self.error = True, error
+
+    def run_to(self, operation: str, key: str) -> None:
+        """Run until the named call is the next one."""
+        while self.next_call != (operation, key):
+            assert not self.done, self.error
+            self.step()
+
+    def finish(self) -> Operator:
+        """Run to the end."""
+        while not self.done:
+            self.step()
+        return self
+
+
+def call(coroutine):
+    """Run a call to its end; return its result or raise its error."""
+    operator = Operator(coroutine).finish()
+    if operator.error is not None:
+        raise operator.error
+    return operator.result
+
+
+def make_store(platform: MemoryPlatform) -> ConfigurationStore:
+    """Make the store of one more process."""
+    return ConfigurationStore.from_platform(SteppedPlatform(platform), ZONES)
+
+
+def make_platform() -> MemoryPlatform:
+    """Make a platform that holds the template, at revision 1."""
+    platform = MemoryPlatform()
+    call(make_store(platform).commit(put_template("0-web"), 0.0))
+    return platform
+
+
+def put_template(change_id: str, **changes) -> PutTemplate:
+    template = {**TEMPLATE, **changes}
+    return PutTemplate(change_id=change_id, author="anna", template=template)
+
+
+def put(change_id: str, account_id: str = "bundelpers", **options) -> PutAccount:
+    """Make a change of an account; other options are parameters."""
+    author = options.pop("author", "anna")
+    if_revision = options.pop("if_revision", None)
+    options.setdefault("ip", "192.0.2.1")
+    return PutAccount(
+        change_id=change_id,
+        author=author,
+        if_revision=if_revision,
+        account_id=account_id,
+        template="web",
+        parameters=options,
+    )
+
+
+def target(number: int, **options) -> dict:
+    return {
+        "target_id": f"t{number}",
+        "tunnel": f"10.0.0.{number}:6080",
+        "zone": "pakhuis",
+        **options,
+    }
--- /dev/null
+++ b/tests/test_configuration/test_moves.py
@@ -0,0 +1,221 @@
+"""Targets that leave, and addresses that move between accounts."""
+
+from __future__ import annotations
+
+import pytest
+
+from citronspring.configuration import store as store_module
+from citronspring.configuration.changes import (
+    DeleteAccount,
+    DrainTarget,
+    PurgeTarget,
+    UndrainTarget,
+)
+from citronspring.configuration.rendering import RETENTION_SECONDS
+from citronspring.configuration.store import Committed
+from citronspring.errors import ConfigurationError, MoveRefusedError, StoredValueError
+from citronspring.platform.memory import Switches
+from tests.test_configuration.stepping import (
+    ZONES,
+    Operator,
+    call,
+    make_platform,
+    make_store,
+    put,
+    put_template,
+    target,
+)
+
+
+@pytest.fixture
+def store():
+    return make_store(make_platform())
+
+
+def about(kind, change_id, number):
+    return kind(
+        change_id=change_id,
+        author="anna",
+        account_id="bundelpers",
+        target_id=f"t{number}",
+    )
+
+
+def revisions(store):
+    """Return added and leaving revision of each target, by its id."""
+    (account,) = call(store.read_snapshot()).accounts
+    return {
+        t.target_id: (t.added_revision, t.leaving_revision) for t in account.targets
+    }
+
+
+def test_targets_keep_their_revisions(store):
+    """Targets are drained, removed and put back while flows live on them.
+
+    Their revisions tell every host where a flow may live. A re-render that set
+    them anew would send packets of live flows to other targets.
+    """
+    call(store.commit(put("1-a", targets=[target(1), target(2)]), 0.0))
+    call(store.commit(about(DrainTarget, "2-b", 1), 0.0))
+    assert revisions(store) == {"t1": (2, 3), "t2": (2, None)}
+    call(store.commit(put("3-c", targets=[target(1), target(3)]), 0.0))
+    assert revisions(store) == {"t1": (2, 3), "t2": (2, 4), "t3": (4, None)}
+    call(
+        store.commit(put_template("4-d", body=put_template("x").template["body"]), 1.0)
+    )
+    call(store.commit(put("5-e", limit=9, targets=[target(1), target(3)]), 1.0))
+    assert revisions(store) == {"t1": (2, 3), "t2": (2, 4), "t3": (4, None)}
+    call(store.commit(put("6-f", targets=[target(1), target(2)]), 1.0))
+    assert revisions(store) == {"t1": (2, 3), "t2": (2, None), "t3": (4, 7)}
+    call(store.commit(about(UndrainTarget, "7-g", 1), 1.0))
+    assert revisions(store) == {"t1": (2, None), "t2": (2, None), "t3": (4, 7)}
+
+
+def test_a_removed_target_is_listed_until_its_deadline(store):
+    call(store.commit(put("1-a", targets=[target(1)]), 10.0))
+    call(store.commit(put("2-b"), 20.0))
+    deadline = 20.0 + RETENTION_SECONDS
+    entry = call(store.read_account("bundelpers"))
+    assert entry.rendered.retain_until == {"t1": deadline}
+    call(store.commit(put("3-c"), deadline - 1))
+    assert revisions(store) == {"t1": (2, 3)}
+    call(store.commit(put("4-d"), deadline))
+    assert revisions(store) == {}
+
+
+def test_purge_and_undrain_name_what_to_do(store):
+    call(store.commit(put("1-a", targets=[target(1)]), 0.0))
+    with pytest.raises(ConfigurationError, match="remove it"):
+        call(store.commit(about(PurgeTarget, "2-b", 1), 0.0))
+    call(store.commit(put("2-b"), 0.0))
+    with pytest.raises(ConfigurationError, match="put it back"):
+        call(store.commit(about(UndrainTarget, "3-c", 1), 0.0))
+    call(store.commit(about(PurgeTarget, "3-c", 1), 0.0))
+    assert revisions(store) == {}
+
+
+def test_a_target_id_keeps_its_tunnel(store):
+    """An operator gives a target id to another server.
+
+    Packets of flows on the old server would go to the new one, so it is refused;
+    the same goes for a new id with the tunnel of a leaving target.
+    """
+    call(store.commit(put("1-a", targets=[target(1)]), 0.0))
+    moved = target(1, tunnel="10.0.0.9:6080")
+    with pytest.raises(ConfigurationError, match="target id of its own"):
+        call(store.commit(put("2-b", targets=[moved]), 0.0))
+    renamed = target(1, target_id="t9")
+    with pytest.raises(ConfigurationError, match="10.0.0.1:6080 comes twice"):
+        call(store.commit(put("2-b", targets=[renamed]), 0.0))
+
+
+def test_a_service_address_moves_in_two_steps(store):
+    """A service address is taken from one account and given to another.
+
+    Hosts of a zone that has not heard of the first step still send its packets
+    to the first account's targets. The operator is told which zones to wait
+    for, and the move is allowed when the last one has confirmed.
+    """
+    wanted = put("2-b", "archivio")
+    call(store.commit(put("1-a"), 0.0))
+    with pytest.raises(MoveRefusedError, match="belongs to account bundelpers"):
+        call(store.commit(wanted, 0.0))
+    call(store.commit(put("2-c", ip="192.0.2.9"), 0.0))
+    call(store.confirm_zone("zetterij", 2))
+    with pytest.raises(MoveRefusedError, match="pakhuis, zetterij") as refused:
+        call(store.commit(wanted, 0.0))
+    assert refused.value.zones == ("pakhuis", "zetterij")
+    call(store.confirm_zone("pakhuis", 3))
+    with pytest.raises(MoveRefusedError) as refused:
+        call(store.commit(wanted, 0.0))
+    assert refused.value.zones == ("zetterij",)
+    call(store.confirm_zone("zetterij", 3))
+    assert call(store.commit(wanted, 0.0)) == Committed(4)
+
+
+def test_the_tunnel_of_a_leaving_target_cannot_move(store):
+    """A target is removed from one account and its server given to another.
+
+    Flows of the first account may live on it. It moves only after it was purged
+    and all zones confirmed the purge.
+    """
+    call(store.commit(put("1-a", targets=[target(1)]), 0.0))
+    call(store.commit(put("2-b"), 0.0))
+    wanted = put("3-c", "archivio", ip="192.0.2.2", targets=[target(1)])
+    for zone in ZONES:
+        call(store.confirm_zone(zone, 3))
+    with pytest.raises(MoveRefusedError, match="belongs to account bundelpers"):
+        call(store.commit(wanted, 0.0))
+    call(store.commit(about(PurgeTarget, "3-d", 1), 0.0))
+    with pytest.raises(MoveRefusedError, match="revision 4"):
+        call(store.commit(wanted, 0.0))
+    for zone in ZONES:
+        call(store.confirm_zone(zone, 4))
+    assert call(store.commit(wanted, 0.0)) == Committed(5)
+
+
+def test_the_addresses_of_a_deleted_account_wait_too(store):
+    """An account is deleted and another one takes its address at once.
+
+    Lagging hosts still serve the deleted account there, so the move waits. The
+    account itself may come back at any time.
+    """
+    call(store.commit(put("1-a"), 0.0))
+    delete = DeleteAccount(change_id="2-b", author="a", account_id="bundelpers")
+    call(store.commit(delete, 0.0))
+    with pytest.raises(MoveRefusedError, match="left account bundelpers"):
+        call(store.commit(put("3-c", "archivio"), 0.0))
+    assert call(store.commit(put("3-d"), 0.0)) == Committed(4)
+
+
+def test_two_operators_give_one_address_to_two_accounts():
+    """Both commits are valid on the head they read, and only one can win.
+
+    The second is checked again on the new head and refused by name.
+    """
+    platform = make_platform()
+    anna = Operator(make_store(platform).commit(put("1-a"), 0.0))
+    bram = Operator(make_store(platform).commit(put("1-b", "archivio"), 0.0))
+    anna.run_to("put", "head")
+    bram.run_to("put", "head")
+    assert anna.finish().result == Committed(2)
+    assert isinstance(bram.finish().error, MoveRefusedError)
+
+
+def test_a_template_cannot_give_two_accounts_one_address(store):
+    call(store.commit(put("1-a"), 0.0))
+    call(store.commit(put("2-b", "archivio", ip="192.0.2.2"), 0.0))
+    body = {"addresses": [{"ip": "192.0.2.3", "port": 1}]}
+    with pytest.raises(MoveRefusedError, match=r"192\.0\.2\.3:1"):
+        call(store.commit(put_template("3-c", body=body), 0.0))
+
+
+def test_confirmed_addresses_are_forgotten(store, monkeypatch):
+    monkeypatch.setattr(store_module, "RELEASES_KEPT", 1)
+    for number in range(1, 5):
+        call(store.commit(put(f"{number}-a", ip=f"192.0.2.{number}"), 0.0))
+    assert len(list(call(store.read_catalog()).releases())) == 3
+    for zone in ZONES:
+        call(store.confirm_zone(zone, 4))
+    call(store.commit(put("5-a", ip="192.0.2.5"), 0.0))
+    assert [r.revision for r in call(store.read_catalog()).releases()] == [5, 6]
+
+
+def test_a_zone_never_takes_back_what_it_confirmed():
+    """A host that lags, or reads a stale confirmation, confirms less.
+
+    The zone's revision stays. Were it lowered, a move that was allowed would be
+    refused, and an operator would wait for a zone that is long done.
+    """
+    platform = make_platform()
+    store = make_store(platform)
+    for revision in (1, 5):
+        call(store.confirm_zone("pakhuis", revision))
+    platform.switches = Switches(stale_reads=1)
+    assert call(store.confirm_zone("pakhuis", 3)) == 5
+    platform.switches = Switches(lost_answers=1)
+    assert call(store.confirm_zone("pakhuis", 6)) == 6
+    assert platform.values["confirmed/pakhuis"][-1].value == b"6"
+    platform.store("confirmed/pakhuis", b"six")
+    with pytest.raises(StoredValueError):
+        call(store.confirm_zone("pakhuis", 7))
--- /dev/null
+++ b/tests/test_configuration/test_store.py
@@ -0,0 +1,502 @@
+"""Commits that meet lost answers, outages, stale reads and other operators."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+
+from citronspring.configuration import prepare as prepare_module
+from citronspring.configuration import store as store_module
+from citronspring.configuration.changes import (
+    DeleteAccount,
+    DrainTarget,
+    make_change_id,
+)
+from citronspring.configuration.shards import HEAD, HEAD_KEY, decode
+from citronspring.configuration.store import Committed, ConfigurationStore
+from citronspring.errors import (
+    ConfigurationError,
+    ConflictError,
+    NotFoundError,
+    OutcomeUnknownError,
+    PlatformUnavailableError,
+    SettingsError,
+    StoredValueError,
+)
+from citronspring.platform.memory import MemoryPlatform, Switches
+from tests.test_configuration.stepping import (
+    ZONES,
+    Operator,
+    call,
+    make_platform,
+    make_store,
+    put,
+    put_template,
+    target,
+)
+
+
+def head_of(platform):
+    return decode(HEAD, platform.values[HEAD_KEY][-1].value)
+
+
+def revision_of(platform):
+    return head_of(platform).revision
+
+
+def test_an_account_is_committed_and_read_back():
+    platform = make_platform()
+    change = put("1-a", targets=[target(1)], limit=7)
+    assert call(make_store(platform).commit(change, 0.0)) == Committed(2)
+    snapshot = call(make_store(platform).read_snapshot())
+    (account,) = snapshot.accounts
+    assert snapshot.revision == 2
+    assert account.limits.max_connections == 7
+    assert account.addresses[0].ip == "192.0.2.1"
+    assert [(t.target_id, t.slots, t.added_revision) for t in account.targets] == [
+        ("t1", 3, 2)
+    ]
+    entry = call(make_store(platform).read_account("bundelpers"))
+    assert [h.difference for h in entry.history] == [("created",)]
+
+
+def test_a_lost_answer_is_settled_by_the_change_id():
+    """The swap of the head takes effect and its answer is lost.
+
+    The store sends the same swap again, finds another version, reads the head
+    and finds its own change id. The operator sees an ordinary commit, and there
+    is one change, not two.
+    """
+    platform = make_platform()
+    operator = Operator(make_store(platform).commit(put("1-a"), 0.0))
+    operator.run_to("put", HEAD_KEY)
+    platform.switches.lost_answers = 1
+    assert operator.finish().result == Committed(2)
+    assert revision_of(platform) == 2
+
+
+def test_a_lost_request_is_sent_again():
+    """The swap of the head is lost on its way, which looks like a lost answer.
+
+    The store sends the same swap again, and that one takes effect.
+    """
+    platform = make_platform()
+    operator = Operator(make_store(platform).commit(put("1-a"), 0.0))
+    operator.run_to("put", HEAD_KEY)
+    platform.switches.lost_requests = 1
+    assert operator.finish().result == Committed(2)
+    assert revision_of(platform) == 2
+
+
+@pytest.mark.parametrize("lost", ["lost_answers", "lost_requests"])
+def test_a_lost_write_of_a_shard_is_sent_again(lost):
+    """The write of a shard gets no answer, before the head is touched.
+
+    Shards are named by what they hold, so writing one again is harmless.
+    """
+    platform = make_platform()
+    setattr(platform.switches, lost, 1)
+    assert call(make_store(platform).commit(put("1-a"), 0.0)) == Committed(2)
+    assert len(call(make_store(platform).read_snapshot()).accounts) == 1
+
+
+def test_an_unsettled_answer_is_told_as_unknown_and_repeated_safely():
+    """The answer to the swap is lost and then the platform is down.
+
+    The operator is told that the outcome is unknown, never "nothing changed":
+    the change is in force. Sent again, through another process, it is found by
+    its id and not committed a second time.
+    """
+    platform = make_platform()
+    operator = Operator(make_store(platform).commit(put("1-a"), 0.0))
+    operator.run_to("put", HEAD_KEY)
+    platform.switches.lost_answers = 1
+    operator.step()
+    platform.switches.outage = True
+    error = operator.finish().error
+    assert isinstance(error, OutcomeUnknownError)
+    assert "same change id" in error.remedy
+    platform.switches.outage = False
+    assert call(make_store(platform).commit(put("1-a"), 0.0)) == Committed(2)
+    assert revision_of(platform) == 2
+
+
+def test_a_stale_read_proves_nothing_about_a_lost_answer():
+    """The answer to the swap is lost, and reading the head gives the old one.
+
+    The old head lacks the change id, which proves nothing. Only a head newer
+    than the one the swap expected does, so the store reads on.
+    """
+    platform = make_platform()
+    operator = Operator(make_store(platform).commit(put("1-a"), 0.0))
+    operator.run_to("put", HEAD_KEY)
+    platform.switches.lost_answers = 1
+    platform.switches.stale_reads = 3
+    assert operator.finish().result == Committed(2)
+    assert revision_of(platform) == 2
+
+
+def test_a_late_swap_of_a_repeated_change_finds_another_version():
+    """Two processes commit one change id at once: the operator was impatient.
+
+    Both read the same head. One swap takes effect; the other fails on the
+    version and finds the change id in the head it reads then.
+    """
+    platform = make_platform()
+    first = Operator(make_store(platform).commit(put("1-a"), 0.0))
+    second = Operator(make_store(platform).commit(put("1-a"), 0.0))
+    first.run_to("put", HEAD_KEY)
+    second.run_to("put", HEAD_KEY)
+    assert second.finish().result == Committed(2)
+    assert first.finish().result == Committed(2)
+    assert revision_of(platform) == 2
+
+
+def test_a_forgotten_change_id_is_not_committed_again(monkeypatch):
+    """An operator repeats a change after so many others that its id is forgotten.
+
+    Nothing tells whether it was committed, so it is refused and the history
+    named. Taking a missing id for "not committed" would commit it twice.
+    """
+    monkeypatch.setattr(prepare_module, "CHANGES_KEPT", 2)
+    platform = make_platform()
+    store = make_store(platform)
+    for number in range(4):
+        call(store.commit(put(f"{number + 1}-{number}", limit=number + 1), 0.0))
+    with pytest.raises(OutcomeUnknownError, match="history"):
+        call(store.commit(put("1-0", limit=1), 0.0))
+    assert revision_of(platform) == 5
+    assert call(store.commit(put("4-3", limit=4), 0.0)) == Committed(5)
+
+
+def test_two_operators_of_one_account():
+    """Two operators change one account at the same moment.
+
+    The first commit wins. The second one's swap fails, and on the new head the
+    account has another revision: the operator is shown the other change and
+    nothing of it is lost.
+    """
+    platform = make_platform()
+    call(make_store(platform).commit(put("1-a", limit=10), 0.0))
+    anna = Operator(make_store(platform).commit(put("2-a", limit=20), 0.0))
+    bram = Operator(
+        make_store(platform).commit(put("2-b", limit=30, author="bram"), 0.0)
+    )
+    anna.run_to("put", HEAD_KEY)
+    bram.run_to("put", HEAD_KEY)
+    assert bram.finish().result == Committed(3)
+    error = anna.finish().error
+    assert isinstance(error, ConflictError)
+    assert (error.change_id, error.revision) == ("2-b", 3)
+    assert error.difference == ("limit: 10 -> 30",)
+    assert "bram" in error.message
+    (account,) = call(make_store(platform).read_snapshot()).accounts
+    assert account.limits.max_connections == 30
+
+
+def test_an_operator_who_saw_an_older_revision():
+    """An operator decides on what the account was, and another changed it since.
+
+    ``if_revision`` says what was seen. The second commit is refused although
+    the two never met, and the message shows what was missed.
+    """
+    platform = make_platform()
+    store = make_store(platform)
+    call(store.commit(put("1-a", if_revision=0), 0.0))
+    call(store.commit(put("2-b", limit=9, if_revision=2, author="bram"), 0.0))
+    with pytest.raises(ConflictError, match="bram.*limit: None -> 9"):
+        call(store.commit(put("2-c", limit=5, if_revision=2), 0.0))
+    with pytest.raises(ConflictError, match="does not exist"):
+        call(store.commit(put("2-c", "archivio", if_revision=2), 0.0))
+
+
+def test_an_account_deleted_by_another_operator():
+    """One operator deletes the account that another one is changing.
+
+    The second is told who deleted it; a silent commit would bring it back.
+    """
+    platform = make_platform()
+    call(make_store(platform).commit(put("1-a"), 0.0))
+    anna = Operator(make_store(platform).commit(put("2-a", limit=20), 0.0))
+    anna.run_to("put", HEAD_KEY)
+    delete = DeleteAccount(change_id="2-b", author="bram", account_id="bundelpers")
+    call(make_store(platform).commit(delete, 0.0))
+    error = anna.finish().error
+    assert isinstance(error, ConflictError)
+    assert error.difference == ("deleted",)
+    assert call(make_store(platform).read_snapshot()).accounts == ()
+
+
+def test_operators_of_different_accounts_both_commit():
+    """Two operators change two accounts at the same moment.
+
+    The second one's swap fails; its change is made again on top of the first
+    and both are in force. The shard it wrote in vain is listed for deletion.
+    """
+    platform = make_platform()
+    anna = Operator(make_store(platform).commit(put("1-a"), 0.0))
+    bram = Operator(
+        make_store(platform).commit(put("1-b", "archivio", ip="192.0.2.2"), 0.0)
+    )
+    anna.run_to("put", HEAD_KEY)
+    vain = set(platform.values)
+    bram.run_to("put", HEAD_KEY)
+    assert anna.finish().result == Committed(2)
+    assert bram.finish().result == Committed(3)
+    snapshot = call(make_store(platform).read_snapshot())
+    assert [a.account_id for a in snapshot.accounts] == ["archivio", "bundelpers"]
+    head = head_of(platform)
+    unused = {key.removeprefix("shard/") for key in set(platform.values) - vain}
+    assert set(head.retired) & unused
+
+
+@pytest.mark.parametrize("at", [None, ("put", HEAD_KEY)])
+def test_an_outage_is_told_as_not_accepted(at):
+    """The platform is down before the commit, or goes down before the swap.
+
+    The operator is told that nothing changed, and nothing did: the head is the
+    same, whatever shards were written for a head that never came.
+    """
+    platform = make_platform()
+    before = platform.values[HEAD_KEY][-1]
+    operator = Operator(make_store(platform).commit(put("1-a"), 0.0))
+    if at:
+        operator.run_to(*at)
+    platform.switches.outage = True
+    error = operator.finish().error
+    assert isinstance(error, PlatformUnavailableError)
+    assert "changed nothing" in error.message
+    assert platform.values[HEAD_KEY][-1] == before
+
+
+def test_a_stale_read_never_lowers_what_a_process_knows():
+    """A replica of the platform answers with the head before the last commit.
+
+    The store keeps the newer one it knows. Taking the old one would put an old
+    configuration back in force.
+    """
+    platform = make_platform()
+    store = make_store(platform)
+    call(store.commit(put("1-a"), 0.0))
+    platform.switches = Switches(stale_reads=3)
+    assert call(store.read_snapshot()).revision == 2
+    assert call(store.read_records(1))[-1].revision == 2
+    assert call(store.read_account("bundelpers")).revision == 2
+
+
+def test_a_head_that_goes_back_is_refused():
+    """The platform is restored from an old copy: newer version, older revision.
+
+    The store refuses it and names the remedy. What was accepted stays known.
+    """
+    platform = make_platform()
+    old = platform.values[HEAD_KEY][-1].value
+    store = make_store(platform)
+    call(store.commit(put("1-a"), 0.0))
+    platform.store(HEAD_KEY, old)
+    with pytest.raises(StoredValueError, match="back"):
+        call(store.read_snapshot())
+    assert store.reader.head.revision == 2
+
+
+def test_platform_that_stays_stale_takes_no_commit():
+    """Every read is old, so that every swap expects an old version.
+
+    The operator is told that nothing changed, instead of waiting for ever.
+    """
+    platform = make_platform()
+    call(make_store(platform).commit(put("1-a"), 0.0))
+    platform.switches = Switches(stale_reads=100)
+    with pytest.raises(PlatformUnavailableError, match="old values"):
+        call(make_store(platform).commit(put("0-b", "archivio"), 0.0))
+    assert revision_of(platform) == 2
+
+
+def test_a_shard_deleted_under_a_reader(monkeypatch):
+    """A reader holds a head whose shard was replaced and deleted meanwhile.
+
+    It reads the head again and returns the newer configuration, instead of one
+    with a hole.
+    """
+    monkeypatch.setattr(prepare_module, "RETIRED_KEPT", 1)
+    platform = make_platform()
+    writer = make_store(platform)
+    call(writer.commit(put("1-a"), 0.0))
+    first = head_of(platform).shards
+    reader = Operator(make_store(platform).read_snapshot())
+    reader.step()
+    for number in (2, 3, 4):
+        call(writer.commit(put(f"{number}-a", limit=number), 0.0))
+    assert not any(f"shard/{digest}" in platform.values for digest in first if digest)
+    snapshot = reader.finish().result
+    assert snapshot.revision == 5
+    assert len(snapshot.accounts) == 1
+
+
+def test_a_retired_shard_never_comes_into_use_again(monkeypatch):
+    """An account comes and goes, so that its shard holds the same as before.
+
+    Under the same digest it would be in use and listed for deletion at once,
+    and the next commit would delete it. The commit is part of what it holds.
+    """
+    monkeypatch.setattr(prepare_module, "RETIRED_KEPT", 1)
+    platform = make_platform()
+    store = make_store(platform)
+    body = {"limits": {"max_connections": "{limit}"}}
+    call(store.commit(put_template("1-t", body=body), 0.0))
+    for revision in range(2, 8, 2):
+        call(store.commit(put(f"{revision}-a"), 0.0))
+        delete = DeleteAccount(
+            change_id=f"{revision}-b", author="a", account_id="bundelpers"
+        )
+        call(store.commit(delete, 0.0))
+    assert call(make_store(platform).read_snapshot()).accounts == ()
+
+
+def test_a_damaged_shard_is_refused():
+    """A shard's bytes are not those its name says.
+
+    Reading it would put accounts in force that no operator accepted.
+    """
+    platform = make_platform()
+    call(make_store(platform).commit(put("1-a"), 0.0))
+    first = next(digest for digest in head_of(platform).shards if digest)
+    other = head_of(platform).templates
+    platform.store(f"shard/{first}", platform.values[f"shard/{other}"][-1].value)
+    with pytest.raises(StoredValueError, match=first):
+        call(make_store(platform).read_snapshot())
+
+
+def test_a_template_renders_its_accounts_again_in_one_commit():
+    platform = make_platform()
+    store = make_store(platform)
+    call(store.commit(put("1-a", targets=[target(1)]), 0.0))
+    call(store.commit(put("2-b", "archivio", ip="192.0.2.2", limit=5), 0.0))
+    body = {
+        "addresses": [{"ip": "{ip}", "port": 8443}],
+        "targets": "{targets}",
+        "zones": "{zones}",
+    }
+    swaps = platform.values[HEAD_KEY][-1].version
+    assert call(store.commit(put_template("3-c", body=body), 0.0)) == Committed(5)
+    assert len([v for v in platform.values[HEAD_KEY] if v.version > swaps]) == 1
+    accounts = call(store.read_snapshot()).accounts
+    assert {account.addresses[0].port for account in accounts} == {8443}
+    assert accounts[1].targets[0].added_revision == 2
+    records = call(store.read_records(3))
+    assert [(r.revision, r.account_id) for r in records] == [
+        (4, "archivio"),
+        (5, "bundelpers"),
+    ]
+
+
+def test_a_template_that_breaks_an_account_is_refused_as_a_whole():
+    """A new template lacks a parameter that an account gives.
+
+    The operator is told which account, and no account is rendered again.
+    """
+    platform = make_platform()
+    store = make_store(platform)
+    call(store.commit(put("1-a", limit=5), 0.0))
+    with pytest.raises(ConfigurationError, match="account bundelpers.*limit"):
+        call(
+            store.commit(
+                put_template(
+                    "2-b",
+                    parameters={"ip": {"type": "address"}},
+                    body={"addresses": [{"ip": "{ip}", "port": 1}]},
+                ),
+                0.0,
+            )
+        )
+    assert revision_of(platform) == 2
+
+
+def test_every_revision_has_one_record_until_they_are_forgotten(monkeypatch):
+    """A host that lags asks for records that the head no longer has.
+
+    It gets None and takes the snapshot. Records with a gap would leave it at a
+    revision that it only partly has.
+    """
+    monkeypatch.setattr(prepare_module, "RECORDS_KEPT", 3)
+    platform = make_platform()
+    store = make_store(platform)
+    for number in range(1, 6):
+        call(store.commit(put(f"{number}-a", limit=number), 0.0))
+    records = call(make_store(platform).read_records(3))
+    assert [record.revision for record in records] == [4, 5, 6]
+    assert call(make_store(platform).read_records(2)) is None
+    assert call(make_store(platform).read_records(6)) == ()
+
+
+def test_a_large_record_leaves_the_head_small(monkeypatch):
+    monkeypatch.setattr(prepare_module, "RECORDS_BYTES", 10)
+    platform = make_platform()
+    call(make_store(platform).commit(put("1-a"), 0.0))
+    assert call(make_store(platform).read_records(1)) is None
+
+
+@pytest.mark.parametrize(
+    ("change", "kind"),
+    [
+        (put("a"), ConfigurationError),
+        (put("01-a"), ConfigurationError),
+        (put("1-a", author=""), ConfigurationError),
+        (put("1-a", "Bundelpers!"), ConfigurationError),
+        (put("9-a"), PlatformUnavailableError),
+        (DeleteAccount(change_id="1-a", author="a", account_id="x"), NotFoundError),
+        (
+            DrainTarget(change_id="1-a", author="a", account_id="x", target_id="t"),
+            NotFoundError,
+        ),
+    ],
+)
+def test_refused_changes_leave_the_head_alone(change, kind):
+    platform = make_platform()
+    with pytest.raises(kind):
+        call(make_store(platform).commit(change, 0.0))
+    assert revision_of(platform) == 1
+
+
+def test_change_ids_and_zones_are_needed():
+    assert make_change_id(41, "3f9c") == "41-3f9c"
+    with pytest.raises(ConfigurationError):
+        make_change_id(41, "no spaces")
+    with pytest.raises(SettingsError):
+        ConfigurationStore.from_platform(MemoryPlatform(), [])
+
+
+def test_commit_gives_up_under_endless_contention(monkeypatch):
+    """Other operators win every swap.
+
+    The operator is told that nothing changed and sends the change again.
+    """
+    monkeypatch.setattr(store_module, "REBASE_ATTEMPTS", 2)
+    platform = make_platform()
+    anna = Operator(make_store(platform).commit(put("1-a"), 0.0))
+    for number in (1, 2):
+        anna.run_to("put", HEAD_KEY)
+        other = put(f"1-{number}", f"other{number}", ip=f"192.0.2.{number + 1}")
+        call(make_store(platform).commit(other, 0.0))
+        anna.step()
+    assert isinstance(anna.finish().error, PlatformUnavailableError)
+    assert revision_of(platform) == 3
+
+
+@pytest.mark.anyio
+async def test_a_watch_ends_at_the_next_revision():
+    platform = MemoryPlatform()
+    writer = ConfigurationStore.from_platform(platform, ZONES)
+    reader = ConfigurationStore.from_platform(platform, ZONES)
+    seen = []
+
+    async def watch():
+        seen.append(await reader.watch_head(0))
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(watch)
+        await anyio.wait_all_tasks_blocked()
+        assert seen == []
+        await writer.commit(put_template("0-web"), 0.0)
+    assert seen == [1]
+    assert await reader.watch_head(0) == 1
