Check every section of the settings, each error in one line

Cause: only the host, fabric and limits were described; a unit, a misspelt key or one address on two sockets was found at run time or never. Added: platform zones, admin, logs; checks over several keys (duplicate ids and sockets, a fabric address that is a host's); an error names file, key, value and remedy, and hides values of sections that may hold secrets.

--- a/citronspring/settings.py
+++ b/citronspring/settings.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import tomllib
+from ipaddress import ip_address
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Literal, Self
+from urllib.parse import urlsplit
 
 from pydantic import (
     AfterValidator,
@@ -13,11 +15,19 @@
     ConfigDict,
     Field,
     ValidationError,
+    model_validator,
 )
 
 from citronspring.balancer import DEFAULT_MAX_FLOWS
 from citronspring.entities import Endpoint, Host
 from citronspring.errors import SettingsError
+from citronspring.settings_errors import finding, settings_error, shown
+
+#: Where the administration API listens unless the settings say otherwise.
+DEFAULT_ADMIN = Endpoint("127.0.0.1", 8440)
+
+#: Sockets of a host that must differ from every other host's.
+SOCKETS = ("tunnel", "relay", "control")
 
 
 def read_endpoint(value: object) -> Endpoint:
@@ -26,22 +36,45 @@
         return value
     if not isinstance(value, str):
         raise ValueError("must be text of the form 'ip:port'")
-    try:
-        return Endpoint.from_text(value)
-    except ValueError:
-        raise ValueError("must be of the form 'ip:port'") from None
+    _, _, port = value.rpartition(":")
+    if not port.isascii() or not port.isdecimal() or len(port) > 5:
+        raise ValueError("must be of the form 'ip:port'")
+    return Endpoint.from_text(value)
 
 
 def check_endpoint(value: Endpoint) -> Endpoint:
-    """Refuse a port outside 1 to 65535."""
+    """Refuse a port outside 1 to 65535, and what is no host's address."""
     if not 0 < value.port < 65536:
         raise ValueError("the port must be 1 to 65535")
-    return value
+    return Endpoint(check_ip(value.ip), value.port)
+
+
+def check_ip(text: str) -> str:
+    """Return an address in its canonical form, if one host can have it."""
+    try:
+        address = ip_address(text)
+    except ValueError:
+        raise ValueError("must hold an IP number, no host name") from None
+    if address.is_unspecified or address.is_multicast or "%" in text:
+        raise ValueError("must be an address that one host can have")
+    return str(address)
+
+
+def check_url(url: str) -> str:
+    """Refuse what is no HTTP URL."""
+    parts = urlsplit(url)
+    if parts.scheme not in ("http", "https") or not parts.hostname:
+        raise ValueError("must be a URL such as 'http://10.20.0.10:8500'")
+    return url
 
 
 EndpointText = Annotated[
     Endpoint, BeforeValidator(read_endpoint), AfterValidator(check_endpoint)
 ]
+IpText = Annotated[str, AfterValidator(check_ip)]
+Name = Annotated[str, Field(min_length=1, max_length=64, pattern=r"^[\w.-]+$")]
+Seconds = Annotated[float, Field(strict=True, gt=0, le=3600, allow_inf_nan=False)]
+Count = Annotated[int, Field(strict=True, gt=0, le=2**31)]
 
 
 class Section(BaseModel):
@@ -50,12 +83,17 @@
     model_config = ConfigDict(extra="forbid", frozen=True)
 
 
+def known_keys() -> set[str]:
+    """Return the keys of all sections."""
+    return {key for section in Section.__subclasses__() for key in section.model_fields}
+
+
 class HostSection(Section):
     """Identity and sockets of a host; also each entry of ``[[peers]]``."""
 
-    id: str = Field(min_length=1, max_length=64)
-    zone: str = Field(min_length=1, max_length=64)
-    group: str = Field(default="default", min_length=1, max_length=64)
+    id: Name
+    zone: Name
+    group: Name = "default"
     tunnel: EndpointText
     relay: EndpointText
     control: EndpointText
@@ -72,21 +110,78 @@
 
     gateway: EndpointText
     #: Addresses fabric packets come from; the gateway's own is always one.
-    sources: tuple[str, ...] = ()
+    sources: tuple[IpText, ...] = ()
 
 
 class PlatformSection(Section):
     """The platform's key-value service."""
 
-    url: str
+    url: Annotated[str, AfterValidator(check_url)]
+    #: Zones that accounts may name; an address moves to another account only when
+    #: each of them has confirmed that it left. Empty allows any zone.
+    zones: tuple[Name, ...] = ()
 
 
 class LimitsSection(Section):
     """Bounds of this process."""
 
-    max_flows: int = Field(default=DEFAULT_MAX_FLOWS, gt=0)
+    max_flows: Count = DEFAULT_MAX_FLOWS
     #: Seconds a stopping host may serve what is in flight.
-    leave_seconds: float = Field(default=30.0, gt=0, le=3600)
+    leave_seconds: Seconds = 30.0
+
+
+class TokenSection(Section):
+    """A bearer token of the administration API; the value is kept elsewhere."""
+
+    name: Name
+    role: Literal["read", "operate"]
+    #: File that holds the token.
+    file: str | None = None
+    #: Environment variable that holds the token.
+    env: str | None = None
+
+    @model_validator(mode="after")
+    def check_source(self) -> Self:
+        """Require exactly one place to read the token from."""
+        if (self.file is None) == (self.env is None):
+            remedy = "name either a file or an environment variable (env)"
+            raise finding("", self.name, remedy)
+        return self
+
+
+class AdminSection(Section):
+    """The administration API."""
+
+    listen: EndpointText = DEFAULT_ADMIN
+    #: PEM files; with neither, the API is served in clear text.
+    certificate_file: str | None = None
+    key_file: str | None = None
+    tokens: tuple[TokenSection, ...] = ()
+    #: Largest request body, bytes.
+    max_body_bytes: Count = 1_000_000
+    #: Requests a second that each token may make, and how many at once.
+    requests_per_second: Annotated[float, Field(strict=True, gt=0, le=1e6)] = 20.0
+    burst: Count = 40
+
+    @model_validator(mode="after")
+    def check_admin(self) -> Self:
+        """Require a certificate with its key, and names that differ."""
+        if (self.certificate_file is None) != (self.key_file is None):
+            given = "certificate_file" if self.certificate_file else "key_file"
+            remedy = "give certificate_file and key_file together"
+            raise finding(given, getattr(self, given), remedy)
+        names = [token.name for token in self.tokens]
+        for index, name in enumerate(names):
+            if name in names[:index]:
+                raise finding(f"tokens.{index}.name", name, "name each token once")
+        return self
+
+
+class LogsSection(Section):
+    """How log events are written."""
+
+    format: Literal["json", "console"] = "json"
+    level: Literal["debug", "info", "warning", "error"] = "info"
 
 
 class Settings(Section):
@@ -97,6 +192,8 @@
     platform: PlatformSection
     peers: tuple[HostSection, ...] = ()
     limits: LimitsSection = LimitsSection()
+    admin: AdminSection = AdminSection()
+    logs: LogsSection = LogsSection()
 
     @classmethod
     def from_toml(cls, path: Path) -> Settings:
@@ -105,31 +202,63 @@
         Raises
         ------
         SettingsError
-            Naming file, key, value and remedy.
+            In one line, naming file, key, value and remedy.
         """
         try:
-            text = path.read_text()
+            return cls.model_validate(tomllib.loads(path.read_text("utf-8")))
+        except ValidationError as error:
+            raise settings_error(path, error, known_keys()) from None
         except OSError as error:
-            message = f"{path}: cannot be read: {error.strerror}"
+            message = f"{shown(path)}: cannot be read: {error.strerror}"
             raise SettingsError(message, "name a readable TOML file") from None
-        try:
-            return cls.model_validate(tomllib.loads(text))
-        except tomllib.TOMLDecodeError as error:
-            message = f"{path}: {error}"
-            raise SettingsError(message, "write it as TOML 1.0") from None
-        except ValidationError as error:
-            raise settings_error(path, error) from None
-
-
-def settings_error(path: Path, error: ValidationError) -> SettingsError:
-    """Return the one-line error for the first finding of a check."""
-    first = error.errors()[0]
-    key = ".".join(str(part) for part in first["loc"])
-    reason = first["msg"].removeprefix("Value error, ")
-    if first["type"] == "missing":
-        return SettingsError(f"{path}: {key} is missing", f"add {key}")
-    if first["type"] == "extra_forbidden":
-        message = f"{path}: {key} is not a known key"
-        return SettingsError(message, "remove it or correct its spelling")
-    message = f"{path}: {key} = {first['input']!r} is not valid"
-    return SettingsError(message, reason[0].lower() + reason[1:])
+        except (ValueError, RecursionError) as error:
+            message = f"{shown(path)}: {shown(error)}"
+            raise SettingsError(message, "write it as TOML 1.0 in UTF-8") from None
+
+    def sections(self) -> list[tuple[str, HostSection]]:
+        """Return this host and its peers with their keys."""
+        peers = [(f"peers.{index}", peer) for index, peer in enumerate(self.peers)]
+        return [("host", self.host), *peers]
+
+    @model_validator(mode="after")
+    def check_ids(self) -> Self:
+        """Refuse two hosts of one id: each would take the other's flows."""
+        seen: dict[str, str] = {}
+        for key, section in self.sections():
+            if section.id in seen:
+                remedy = f"{seen[section.id]} has this id: give each host its own"
+                raise finding(f"{key}.id", section.id, remedy)
+            seen[section.id] = key
+        return self
+
+    @model_validator(mode="after")
+    def check_sockets(self) -> Self:
+        """Refuse one address for two sockets: a packet would be misread."""
+        seen: dict[Endpoint, str] = {}
+        for key, section in self.sections():
+            for name in SOCKETS:
+                endpoint = getattr(section, name)
+                if endpoint in seen:
+                    remedy = f"{seen[endpoint]} is there already: use another port"
+                    raise finding(f"{key}.{name}", endpoint, remedy)
+                seen[endpoint] = f"{key}.{name}"
+        return self
+
+    @model_validator(mode="after")
+    def check_fabric(self) -> Self:
+        """Refuse a fabric address that is a host's.
+
+        What comes from a fabric address counts as a caller's packet, so answers
+        that another host relays would be taken for callers' and lost.
+        """
+        gateway = self.fabric.gateway
+        named = [("fabric.gateway", gateway.ip, str(gateway))]
+        for index, source in enumerate(self.fabric.sources):
+            named.append((f"fabric.sources.{index}", source, source))
+        for key, section in self.sections():
+            ips = {getattr(section, name).ip for name in SOCKETS}
+            for fabric_key, ip, value in named:
+                if ip in ips:
+                    remedy = f"{key} uses this address: give the fabric its own"
+                    raise finding(fabric_key, value, remedy)
+        return self
--- /dev/null
+++ b/citronspring/settings_errors.py
@@ -0,0 +1,104 @@
+"""Findings of a settings check as errors of one line."""
+
+from __future__ import annotations
+
+from difflib import get_close_matches
+from typing import TYPE_CHECKING, Any
+
+from pydantic_core import PydanticCustomError
+
+from citronspring.errors import SettingsError
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+    from pathlib import Path
+
+    from pydantic import ValidationError
+
+#: Type of the findings that carry key, value and remedy themselves.
+FINDING = "finding"
+
+#: Longest value that an error shows, characters.
+SHOWN_LENGTH = 80
+
+#: Sections whose values may be secrets put in by mistake.
+SECRET_SECTIONS = ("admin.tokens", "control")
+
+
+def finding(key: str, value: object, remedy: str) -> PydanticCustomError:
+    """Make the finding of a check over several keys.
+
+    Parameters
+    ----------
+    key : str
+        Relative to the section that is checked; empty for the section itself.
+    value : object
+        What was found there.
+    remedy : str
+        What to do about it.
+    """
+    context = {"key": key, "value": str(value), "remedy": remedy}
+    return PydanticCustomError(FINDING, "{remedy}", context)
+
+
+def settings_error(
+    path: Path, error: ValidationError, known: Collection[str]
+) -> SettingsError:
+    """Return the one-line error for the first finding of a check.
+
+    Parameters
+    ----------
+    path : Path
+        The settings file.
+    error : ValidationError
+        The findings.
+    known : collection of str
+        Known keys, to propose one in place of a misspelt one.
+    """
+    first: Any = error.errors(include_url=False)[0]
+    parts = [str(part) for part in first["loc"]]
+    value = first["input"]
+    if first["type"] == FINDING:
+        parts += [first["ctx"]["key"]] if first["ctx"]["key"] else []
+        value = first["ctx"]["value"]
+    key = shown(".".join(parts))
+    if first["type"] == "missing":
+        return SettingsError(f"{shown(path)}: {key} is missing", f"add {key}")
+    text = "(hidden)" if is_secret(key) else shown(repr(value))
+    if first["type"] == "extra_forbidden":
+        message = f"{shown(path)}: {key} = {text}: not a known key"
+        return SettingsError(message, remedy_of_unknown(parts[-1], known))
+    message = f"{shown(path)}: {key} = {text} is not valid"
+    return SettingsError(message, remedy_of(first, parts[-1] if parts else ""))
+
+
+def is_secret(key: str) -> bool:
+    """Return whether a value may be a secret, never to be shown."""
+    return key.startswith(SECRET_SECTIONS)
+
+
+def remedy_of_unknown(key: str, known: Collection[str]) -> str:
+    """Return what to do about a key that is not known."""
+    close = get_close_matches(key, known, n=1)
+    if close and close[0] != key:
+        return f"did you mean {close[0]}?"
+    return "remove it, or move it to the section it belongs to"
+
+
+def remedy_of(first: Any, key: str) -> str:
+    """Return what to do about a value that does not fit."""
+    reason = first["msg"].removeprefix("Value error, ")
+    if key.endswith("_seconds") and first["type"] != FINDING:
+        return f"give seconds as a plain number without a unit: {shown(reason)}"
+    return shown(reason[0].lower() + reason[1:])
+
+
+def shown(value: object) -> str:
+    """Return a value as text that fits on the line of an error."""
+    printable = "".join(
+        char if char.isprintable() else char.encode("unicode_escape").decode()
+        for char in str(value)
+    )
+    if len(printable) <= SHOWN_LENGTH:
+        return printable
+    return f"{printable[:SHOWN_LENGTH]}..."
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,181 @@
+"""Settings: what is refused, and how the error reads."""
+
+from __future__ import annotations
+
+import copy
+import tomllib
+from pathlib import Path
+
+import pytest
+import tomli_w
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from citronspring.entities import Endpoint
+from citronspring.errors import SettingsError
+from citronspring.settings import Settings
+
+EXAMPLES = Path(__file__).parent.parent / "examples"
+
+GOOD = {
+    "host": {
+        "id": "drukkerij-1",
+        "zone": "drukkerij",
+        "tunnel": "10.0.0.1:6080",
+        "relay": "10.0.0.1:6081",
+        "control": "10.0.0.1:6082",
+    },
+    "fabric": {"gateway": "10.0.9.1:6080", "sources": ["10.0.9.2"]},
+    "platform": {"url": "http://10.0.9.9:8500"},
+    "peers": [
+        {
+            "id": "zetterij-1",
+            "zone": "zetterij",
+            "tunnel": "10.0.0.2:6080",
+            "relay": "10.0.0.2:6081",
+            "control": "10.0.0.2:6082",
+        }
+    ],
+    "limits": {"leave_seconds": 30.0},
+    "admin": {"tokens": [{"name": "watch", "role": "read", "env": "TOKEN"}]},
+    "logs": {"format": "json"},
+}
+
+TOKEN = {"name": "watch", "role": "read"}
+
+#: Key, value put there, and what the error must name besides file and key.
+WRONG = [
+    ("host.zoen", "x", "did you mean zone"),
+    ("hots", {}, "did you mean host"),
+    ("limits.leave_seconds", "30s", "seconds as a plain number"),
+    ("limits.leave_seconds", 30_000, "seconds as a plain number"),
+    ("limits.max_flows", "1e6", "valid integer"),
+    ("host.tunnel", "10.0.0.1", "ip:port"),
+    ("host.tunnel", "drukkerij:6080", "IP number"),
+    ("host.tunnel", "10.0.0.1:70000", "1 to 65535"),
+    ("host.tunnel", "0.0.0.0:6080", "one host"),
+    ("host.relay", "10.0.0.1:6080", "host.tunnel is there already"),
+    ("peers.0.control", "10.0.0.1:6082", "host.control is there already"),
+    ("peers.0.id", "drukkerij-1", "give each host its own"),
+    ("fabric.sources", ["10.0.0.2"], "peers.0 uses this address"),
+    ("fabric.gateway", "10.0.0.1:1", "host uses this address"),
+    ("platform.url", "10.0.9.9:8500", "URL"),
+    ("logs.level", "loud", "'debug', 'info'"),
+    ("admin.key_file", "key.pem", "together"),
+    ("admin.tokens", [TOKEN], "a file or an environment variable"),
+    ("admin.tokens", [TOKEN | {"env": "A"}, TOKEN | {"env": "B"}], "each token once"),
+]
+
+
+def changed(key: str, value: object) -> dict[str, object]:
+    """Return good settings but for one key."""
+    tree = copy.deepcopy(GOOD)
+    *path, last = key.split(".")
+    node = tree
+    for part in path:
+        node = node[int(part)] if part.isdecimal() else node[part]
+    node[last] = value
+    return tree
+
+
+def error_of(tmp_path: Path, text: str | bytes) -> str:
+    """Return the error that a settings file gives, which must be one line."""
+    path = tmp_path / "host.toml"
+    path.write_bytes(text.encode() if isinstance(text, str) else text)
+    with pytest.raises(SettingsError) as caught:
+        Settings.from_toml(path)
+    assert str(caught.value).startswith(str(path)[:80])
+    assert str(caught.value).isprintable()
+    return str(caught.value)
+
+
+def test_good_settings_are_read(tmp_path):
+    path = tmp_path / "host.toml"
+    path.write_text(tomli_w.dumps(GOOD))
+    assert Settings.from_toml(path).host.tunnel == Endpoint("10.0.0.1", 6080)
+
+
+@pytest.mark.parametrize(("key", "value", "remedy"), WRONG)
+def test_error_names_key_value_and_remedy(tmp_path, monkeypatch, key, value, remedy):
+    monkeypatch.chdir(tmp_path)
+    text = error_of(Path(), tomli_w.dumps(changed(key, value)))
+    assert key in text
+    assert remedy in text
+    if isinstance(value, str):
+        assert value in text
+
+
+def test_missing_key_is_named(tmp_path):
+    tree = copy.deepcopy(GOOD)
+    del tree["host"]["zone"]
+    assert "add host.zone" in error_of(tmp_path, tomli_w.dumps(tree))
+
+
+@pytest.mark.parametrize(
+    "text", ["host = [", b"\xff", "a = " + "[" * 5000, "a = " + "9" * 5000]
+)
+def test_what_is_no_toml_is_told_in_a_line(tmp_path, text):
+    assert "write it as TOML" in error_of(tmp_path, text)
+
+
+@pytest.mark.parametrize("path", ["absent.toml", ".", "nul\0.toml"])
+def test_unreadable_file_is_told(tmp_path, path):
+    with pytest.raises(SettingsError):
+        Settings.from_toml(tmp_path / path)
+
+
+def test_secret_in_the_wrong_place_is_not_shown(tmp_path):
+    """A token's value is written straight into the settings.
+
+    The operator sees an error that names the key. The error goes to a terminal
+    and a log that others read, so it must not repeat the value.
+    """
+    token = TOKEN | {"env": "A", "value": "s3cret"}
+    assert "s3cret" not in error_of(
+        tmp_path, tomli_w.dumps(changed("admin.tokens", [token]))
+    )
+    assert "s3cret" not in error_of(
+        tmp_path, tomli_w.dumps(changed("admin.tokens", "s3cret"))
+    )
+
+
+@pytest.mark.parametrize("name", ["de-waterlelie", "palermo"])
+def test_example_settings_are_right(name):
+    example = Settings.from_toml(EXAMPLES / f"{name}.toml")
+    assert len(example.peers) == 5
+    assert len({host.zone for _, host in example.sections()}) == 3
+
+
+VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: (
+        st.lists(inner, max_size=3) | st.dictionaries(st.text(), inner, max_size=3)
+    ),
+    max_leaves=6,
+).filter(lambda value: value is not None)
+
+KEYS = sorted({key for key, _, _ in WRONG} | {"host", "peers", "admin", "control"})
+
+
+@settings(derandomize=True, deadline=None, max_examples=150)
+@given(key=st.sampled_from(KEYS), value=VALUES)
+def test_any_value_gives_settings_or_a_settings_error(tmp_path_factory, key, value):
+    path = tmp_path_factory.getbasetemp() / "any.toml"
+    try:
+        path.write_text(tomli_w.dumps(changed(key, value)), "utf-8")
+        tomllib.loads(path.read_text("utf-8"))
+    except (TypeError, ValueError, AttributeError):
+        return
+    try:
+        Settings.from_toml(path)
+    except SettingsError as error:
+        assert str(error).isprintable()
+
+
+@settings(derandomize=True, deadline=None, max_examples=150)
+@given(content=st.binary(max_size=200) | st.text(max_size=200).map(str.encode))
+def test_any_bytes_give_a_settings_error(tmp_path_factory, content):
+    path = tmp_path_factory.getbasetemp() / "bytes.toml"
+    path.write_bytes(content)
+    with pytest.raises(SettingsError):
+        Settings.from_toml(path)
