Number the log events, time the core, dump the state on SIGUSR1

Cause: parts wrote free text, no time was measured, and a running host could not be asked what it does. MeasuredBalancer times the core from outside: openings, one decision in 16, revision lag. Ruled out: timing inside the core, which reads no clock. Recorders are hdrhistograms of fixed size; /metrics text comes from a custom collector.

--- a/citronspring/daemons/host.py
+++ b/citronspring/daemons/host.py
@@ -7,13 +7,15 @@
 from typing import TYPE_CHECKING
 
 import anyio
-import structlog
 
+from citronspring import __version__
 from citronspring.application import Application
-from citronspring.balancer import Balancer
 from citronspring.daemons.carrier import Carrier
 from citronspring.daemons.sockets import receive_forever
+from citronspring.events import SIGNAL
+from citronspring.logs import log, log_application, write_dump
 from citronspring.messages import LeaveRequested, SnapshotRead, Stopped
+from citronspring.metrics import MeasuredBalancer
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -24,8 +26,6 @@
     from citronspring.messages import Action
     from citronspring.settings import Settings
 
-logger = structlog.get_logger(__name__)
-
 #: Seconds between two ticks of the core.
 TICK = 0.05
 
@@ -56,7 +56,7 @@
         self.read_snapshot = read_snapshot
         self.clock = clock
         self.application = Application()
-        self.core = Balancer.from_config(
+        self.core = MeasuredBalancer.from_config(
             settings.host.to_host(),
             [peer.to_host() for peer in settings.peers],
             settings.limits.max_flows,
@@ -65,6 +65,7 @@
             self.core, self.application, settings, clock
         )
         self.application.connect("action", self.take_action)
+        log_application(self.application)
         self.stopping = anyio.Event()
 
     @classmethod
@@ -110,10 +111,21 @@
         self.core.receive(LeaveRequested(deadline), self.clock())
         self.application.emit("leaving", deadline)
 
+    def dump(self) -> dict[str, object]:
+        """Return the state of the process as plain values, for operators."""
+        return {"version": __version__, **self.core.dump()}
+
 
-async def watch_signals(daemon: HostDaemon) -> None:
-    """Leave gracefully on SIGTERM or SIGINT."""
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+async def watch_signals(
+    daemon: HostDaemon, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
+) -> None:
+    """Leave gracefully on SIGTERM or SIGINT; dump the state on SIGUSR1."""
+    wanted = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1)
+    with anyio.open_signal_receiver(*wanted) as signals:
+        task_status.started()
         async for number in signals:
-            logger.info("signal", signal=signal.Signals(number).name)
-            daemon.leave()
+            log(SIGNAL, signal=signal.Signals(number).name)
+            if number == signal.SIGUSR1:
+                write_dump(daemon.dump())
+            else:
+                daemon.leave()
--- /dev/null
+++ b/citronspring/events.py
@@ -0,0 +1,148 @@
+"""The catalogue of numbered log events."""
+
+from __future__ import annotations
+
+import sys
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Level(Enum):
+    """How loud an event is; the names are structlog's."""
+
+    DEBUG = "debug"
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """One kind of log event. A number is never used again for another kind."""
+
+    number: int
+    #: Stable word for machines.
+    name: str
+    level: Level
+    #: What happened, in one line.
+    message: str
+    #: What the reader can do about it; empty where nothing is to be done.
+    remedy: str = ""
+
+
+# 100 to 199: the process
+
+STARTED = Event(100, "started", Level.INFO, "The process serves.")
+STOPPED = Event(101, "stopped", Level.INFO, "The process has stopped.")
+LEAVING = Event(
+    102,
+    "leaving",
+    Level.INFO,
+    "The host leaves: it takes no new flows and serves what is in flight until "
+    "it is quiet or the deadline passes.",
+)
+SIGNAL = Event(103, "signal", Level.INFO, "A signal arrived.")
+STATE_DUMP = Event(
+    104, "state-dump", Level.INFO, "The state of the process, as asked for by SIGUSR1."
+)
+UNKNOWN_EVENT = Event(
+    105,
+    "unknown-event",
+    Level.WARNING,
+    "A part logged a number that is not in this catalogue.",
+    "Report it: the number and its fields are in the event.",
+)
+
+# 200 to 299: configuration
+
+REVISION_APPLIED = Event(
+    200, "revision-applied", Level.INFO, "A configuration revision is in force here."
+)
+
+# 500 to 599: the administration API
+
+ADMIN_LISTENING = Event(
+    500, "admin-listening", Level.INFO, "The administration API takes requests."
+)
+ADMIN_LOOPBACK_ONLY = Event(
+    501,
+    "admin-loopback-only",
+    Level.WARNING,
+    "No token is configured: the administration API listens on loopback only, and "
+    "lets whoever reaches it do everything.",
+    "Add [[admin.tokens]] to the settings to reach it from elsewhere.",
+)
+ADMIN_CLEAR_TEXT = Event(
+    502,
+    "admin-clear-text",
+    Level.WARNING,
+    "The administration API takes tokens over connections without TLS.",
+    "Set admin.certificate_file and admin.key_file.",
+)
+CHANGE_ACCEPTED = Event(
+    503, "change-accepted", Level.INFO, "An operator's change is committed."
+)
+CHANGE_REFUSED = Event(
+    504, "change-refused", Level.INFO, "An operator's change was refused."
+)
+CHANGE_UNKNOWN = Event(
+    505,
+    "change-outcome-unknown",
+    Level.WARNING,
+    "The platform did not say whether an operator's change is committed.",
+    "Send the change again with the same change id.",
+)
+REQUEST_FAILED = Event(
+    506,
+    "request-failed",
+    Level.ERROR,
+    "A request to the administration API met an error that is a fault of the program.",
+    "Report it: the error is in the event.",
+)
+TOKEN_REFUSED = Event(
+    507,
+    "token-refused",
+    Level.WARNING,
+    "A request came without a known token, or with one whose role is too low.",
+    "If it was an operator's: compare the token, and its role in the settings.",
+)
+
+
+def all_events() -> dict[int, Event]:
+    """Return the events of this module by number."""
+    module = sys.modules[__name__]
+    found = [value for value in vars(module).values() if isinstance(value, Event)]
+    return {event.number: event for event in sorted(found, key=number_of)}
+
+
+def number_of(event: Event) -> int:
+    """Return the number of an event, to sort by."""
+    return event.number
+
+
+#: Every event by number.
+CATALOGUE = all_events()
+
+
+def catalogue_page() -> str:
+    """Return the reference page of the catalogue."""
+    lines = [
+        "# Log events",
+        "",
+        "Each log line carries the `number`, name (as `event`), `level` and `message`",
+        "of one of these, and fields of its own. Numbers are never used again.",
+        "",
+        "This page is made from `citronspring.events` by",
+        "`python -m citronspring.events > docs/reference/events.md`.",
+        "",
+    ]
+    for event in CATALOGUE.values():
+        lines += [f"## {event.number} {event.name}", "", f"*{event.level.value}.*"]
+        lines += [event.message, ""]
+        if event.remedy:
+            lines += [f"What to do: {event.remedy}", ""]
+    return "\n".join(lines)
+
+
+if __name__ == "__main__":
+    sys.stdout.write(catalogue_page())
--- /dev/null
+++ b/citronspring/metrics.py
@@ -0,0 +1,242 @@
+"""Timings and counts of a host, and their text for Prometheus."""
+
+from __future__ import annotations
+
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from hdrh.histogram import HdrHistogram
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    Metric,
+)
+from prometheus_client.registry import Collector
+
+from citronspring.balancer import Balancer
+from citronspring.messages import PacketReceived, RelayReceived
+from citronspring.tables import FlowState
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+    from citronspring.entities import FlowKey
+    from citronspring.messages import Action, Event
+    from citronspring.tables import OpeningRow, Tables
+
+#: Longest time a recorder tells apart; a longer one counts as this.
+LONGEST_MICROSECONDS = 3_600_000_000
+
+#: Significant digits of a recorded time. Two keep a recorder at some 30 kB.
+DIGITS = 2
+
+#: One of so many decisions is timed, since timing costs as much as a tenth of one.
+DECISION_SAMPLE = 16
+
+QUANTILES = (0.5, 0.99, 0.999)
+
+
+class TimeRecorder:
+    """Times in a histogram of fixed size."""
+
+    def __init__(self) -> None:
+        self.histogram = HdrHistogram(1, LONGEST_MICROSECONDS, DIGITS)
+
+    def record(self, seconds: float) -> None:
+        """Add one time."""
+        microseconds = min(max(1, round(seconds * 1e6)), LONGEST_MICROSECONDS)
+        self.histogram.record_value(microseconds)
+
+    @property
+    def count(self) -> int:
+        """How many times were added."""
+        return int(self.histogram.total_count)
+
+    def total(self) -> float:
+        """Return the sum of all times, seconds."""
+        return self.histogram.get_mean_value() * self.count / 1e6 if self.count else 0.0
+
+    def quantiles(self) -> dict[float, float]:
+        """Return quantiles in seconds; empty before the first time."""
+        if not self.count:
+            return {}
+        value = self.histogram.get_value_at_percentile
+        return {quantile: value(quantile * 100) / 1e6 for quantile in QUANTILES}
+
+
+@dataclass(slots=True)
+class RevisionLag:
+    """How long after first hearing of a revision this host had it in force."""
+
+    recorder: TimeRecorder = field(default_factory=TimeRecorder)
+    #: The first revision heard of and not in force yet, and when it was heard of.
+    awaited: int = 0
+    heard_at: float = 0.0
+
+    def observe(self, tables: Tables, now: float) -> None:
+        """Compare the newest revision that any host tells of with this host's."""
+        if self.awaited and tables.revision >= self.awaited:
+            self.recorder.record(now - self.heard_at)
+            self.awaited = 0
+        newest = max(row.revision for row in tables.hosts.values())
+        if not self.awaited and newest > tables.revision:
+            self.awaited = newest
+            self.heard_at = now
+
+
+class MeasuredBalancer(Balancer):
+    """The decision core with its times taken from outside."""
+
+    def __init__(self, tables: Tables) -> None:
+        super().__init__(tables)
+        #: From the caller's SYN to the answer of a target that the caller confirmed.
+        self.opening_time = TimeRecorder()
+        self.decision_time = TimeRecorder()
+        self.revision_lag = RevisionLag()
+        self.events_received = 0
+        self.stopwatch: Callable[[], float] = time.perf_counter
+
+    def receive(self, event: Event, now: float) -> list[Action]:
+        """Handle one event, and time some."""
+        self.events_received += 1
+        match event:
+            case PacketReceived():
+                flow = event.packet.flow
+            case RelayReceived():
+                flow = event.flow
+            case _:
+                return super().receive(event, now)
+        opening = self.tables.openings.get(flow)
+        actions = self.receive_timed(event, now)
+        if opening is not None:
+            self.note_opening(flow, opening, now)
+        return actions
+
+    def receive_timed(self, event: Event, now: float) -> list[Action]:
+        """Handle an event; time it if it is its turn."""
+        if self.events_received % DECISION_SAMPLE:
+            return super().receive(event, now)
+        started_at = self.stopwatch()
+        actions = super().receive(event, now)
+        self.decision_time.record(self.stopwatch() - started_at)
+        return actions
+
+    def note_opening(self, flow: FlowKey, opening: OpeningRow, now: float) -> None:
+        """Record the time of an opening that has just become established."""
+        row = self.tables.flows.rows.get(flow)
+        if flow in self.tables.openings or row is None:
+            return
+        if row.state == FlowState.ESTABLISHED:
+            limits = row.target.account.account.limits
+            self.opening_time.record(now - opening.deadline + limits.opening_timeout)
+
+    def tick(self, now: float) -> list[Action]:
+        """Run the systems that act on time."""
+        actions = super().tick(now)
+        self.revision_lag.observe(self.tables, now)
+        return actions
+
+    def recorders(self) -> dict[str, TimeRecorder]:
+        """Return the recorders by the name of what they measure."""
+        return {
+            "opening_time": self.opening_time,
+            "decision_time": self.decision_time,
+            "revision_lag": self.revision_lag.recorder,
+        }
+
+    def dump(self) -> dict[str, object]:
+        """Return the state as plain values, with the timings."""
+        timings = {
+            name: {"count": recorder.count}
+            | {
+                f"p{quantile * 100:g}": at
+                for quantile, at in recorder.quantiles().items()
+            }
+            for name, recorder in self.recorders().items()
+        }
+        return {**super().dump(), "timings_seconds": timings}
+
+
+class HostCollector(Collector):
+    """Reads the tables of a core whenever the metrics are asked for."""
+
+    def __init__(self, core: MeasuredBalancer) -> None:
+        self.core = core
+
+    def collect(self) -> Iterator[Metric]:
+        """Yield every metric."""
+        yield from self.collect_counters()
+        yield from self.collect_sizes()
+        yield from self.collect_hosts()
+        yield from self.collect_accounts()
+        for name, recorder in self.core.recorders().items():
+            yield summary_of(name, recorder)
+
+    def collect_counters(self) -> Iterator[Metric]:
+        """Yield the core's counters under one name."""
+        family = CounterMetricFamily(
+            "citronspring_events", "Packets, drops and decisions.", labels=["name"]
+        )
+        for name, count in sorted(self.core.tables.counters.items()):
+            family.add_metric([name], count)
+        yield family
+
+    def collect_sizes(self) -> Iterator[Metric]:
+        """Yield how much the tables hold, and the revision."""
+        tables = self.core.tables
+        rows = GaugeMetricFamily(
+            "citronspring_rows", "Rows of the tables.", labels=["table"]
+        )
+        rows.add_metric(["flows"], len(tables.flows.rows))
+        rows.add_metric(["openings"], len(tables.openings))
+        rows.add_metric(["walks"], len(tables.walks))
+        rows.add_metric(["hints"], len(tables.hints))
+        yield rows
+        yield GaugeMetricFamily(
+            "citronspring_revision", "Revision in force.", value=tables.revision
+        )
+
+    def collect_hosts(self) -> Iterator[Metric]:
+        """Yield how many hosts are in each state."""
+        family = GaugeMetricFamily(
+            "citronspring_hosts", "Hosts by state, as seen here.", labels=["state"]
+        )
+        states = Counter(row.state.value for row in self.core.tables.hosts.values())
+        for state, count in sorted(states.items()):
+            family.add_metric([state], count)
+        yield family
+
+    def collect_accounts(self) -> Iterator[Metric]:
+        """Yield the open flows of the targets of accounts that have any."""
+        family = GaugeMetricFamily(
+            "citronspring_target_flows",
+            "Open flows this host owns, of accounts that have any.",
+            labels=["account", "target"],
+        )
+        for account_id, row in sorted(self.core.tables.accounts.items()):
+            if row.open_flows:
+                for target in row.targets:
+                    labels = [account_id, target.target.target_id]
+                    family.add_metric(labels, target.flows)
+        yield family
+
+
+def summary_of(name: str, recorder: TimeRecorder) -> Metric:
+    """Return a recorder as a summary."""
+    full_name = f"citronspring_{name}_seconds"
+    metric = Metric(full_name, f"{name.replace('_', ' ').capitalize()}.", "summary")
+    for quantile, seconds in recorder.quantiles().items():
+        metric.add_sample(full_name, {"quantile": str(quantile)}, seconds)
+    metric.add_sample(f"{full_name}_count", {}, recorder.count)
+    metric.add_sample(f"{full_name}_sum", {}, recorder.total())
+    return metric
+
+
+def metrics_text(core: MeasuredBalancer) -> bytes:
+    """Return every metric of a core in the text format of Prometheus."""
+    registry = CollectorRegistry()
+    registry.register(HostCollector(core))
+    return generate_latest(registry)
