--- a/citronspring/cli/main.py
+++ b/citronspring/cli/main.py
@@ -10,6 +10,7 @@
 
 from citronspring import __version__
 from citronspring.cli.serve import check_settings, serve
+from citronspring.cli.try_command import try_system
 from citronspring.errors import CitronspringError
 
 if TYPE_CHECKING:
@@ -31,6 +32,7 @@
 COMMANDS: dict[str, Callable[[Sequence[str]], int]] = {
     "check-settings": check_settings,
     "serve": serve,
+    "try": try_system,
     "version": version,
 }
 
--- a/citronspring/demonstration.py
+++ b/citronspring/demonstration.py
@@ -2,21 +2,29 @@
 
 from __future__ import annotations
 
+import random
+import time
 from collections import Counter
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import anyio
 
+from citronspring.configuration.store import ConfigurationStore
+from citronspring.daemons.host import HostDaemon
+from citronspring.entities import Endpoint
+from citronspring.platform.http import PlatformClient
+from citronspring.platform.memory import MemoryPlatform
 from citronspring.standins.loopback import Loopback
+from citronspring.standins.platform import serve_platform
 from citronspring.standins.service import Outcome, Request, RequestKind
+from citronspring.standins.system import SYSTEM_ZONES, Operator
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from citronspring.entities import Account, ServiceAddress
+    from citronspring.entities import Account, ServiceAddress, Snapshot
     from citronspring.standins.service import CallerSession
-    from citronspring.standins.system import Operator
 
 #: Seconds that new requests arrive for.
 TRAFFIC_SECONDS = 14.0
@@ -45,6 +53,9 @@
 
 HOSTS = 3
 
+#: Where the platform's stand-in listens.
+PLATFORM_ENDPOINT = Endpoint("127.0.3.4", 20_999)
+
 
 @dataclass(slots=True)
 class Report:
@@ -224,3 +235,43 @@
             for daemon in self.system.hosts.values()
         ]
         return max(sent) / self.elapsed()
+
+
+async def demonstrate(seed: int, say: Callable[[str], None]) -> Report:
+    """Run the whole system once on loopback.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of arrivals, spray and sequence numbers.
+    say : callable
+        Called with each line of progress.
+    """
+    async with anyio.create_task_group() as group:
+        await group.start(serve_platform, MemoryPlatform(), PLATFORM_ENDPOINT)
+        url = f"http://{PLATFORM_ENDPOINT}"
+        async with PlatformClient.from_url(url) as client:
+            store = ConfigurationStore.from_platform(client, SYSTEM_ZONES)
+            operator = Operator(store, time.time)
+            await operator.set_up()
+            snapshot = await store.read_snapshot()
+            system = Loopback(group, random.Random(seed), SYSTEM_ZONES)
+            await start_system(system, snapshot, store, url)
+            say(f"{HOSTS} hosts and {len(system.targets)} targets run")
+            run = Demonstration(system, operator, snapshot.accounts, say)
+            report = await run.run()
+        group.cancel_scope.cancel()
+    return report
+
+
+async def start_system(
+    system: Loopback, snapshot: Snapshot, store: ConfigurationStore, url: str
+) -> None:
+    """Start fabric, callers, targets and hosts."""
+    await system.start()
+    await system.add_targets(snapshot)
+    sections = system.describe_hosts(HOSTS)
+    for section in sections:
+        settings = system.settings_of(section, sections, url)
+        daemon = HostDaemon.from_settings(settings, store.read_snapshot)
+        await system.add_host(daemon)
--- a/citronspring/settings.py
+++ b/citronspring/settings.py
@@ -14,6 +14,7 @@
     BeforeValidator,
     ConfigDict,
     Field,
+    PlainSerializer,
     ValidationError,
     model_validator,
 )
@@ -69,7 +70,10 @@
 
 
 EndpointText = Annotated[
-    Endpoint, BeforeValidator(read_endpoint), AfterValidator(check_endpoint)
+    Endpoint,
+    BeforeValidator(read_endpoint),
+    AfterValidator(check_endpoint),
+    PlainSerializer(str),
 ]
 IpText = Annotated[str, AfterValidator(check_ip)]
 Name = Annotated[str, Field(min_length=1, max_length=64, pattern=r"^[\w.-]+$")]
--- /dev/null
+++ b/tests/test_whole_path.py
@@ -0,0 +1,84 @@
+"""The whole path: separate processes, real sockets, configuration from the platform."""
+
+from __future__ import annotations
+
+import os
+import random
+import signal
+import subprocess
+import sys
+import time
+
+import anyio
+import pytest
+import tomli_w
+
+from citronspring.configuration.store import ConfigurationStore
+from citronspring.entities import Endpoint
+from citronspring.platform.http import PlatformClient
+from citronspring.platform.memory import MemoryPlatform
+from citronspring.standins.loopback import Loopback
+from citronspring.standins.platform import serve_platform
+from citronspring.standins.service import Outcome, Request, RequestKind
+from citronspring.standins.system import SYSTEM_ZONES, Operator
+
+pytestmark = pytest.mark.anyio
+
+PLATFORM = Endpoint("127.0.3.9", 23_999)
+
+
+def write_settings(path, system, section, sections):
+    settings = system.settings_of(section, sections, f"http://{PLATFORM}")
+    tables = settings.model_dump(mode="json", exclude_none=True, exclude_defaults=True)
+    path.write_text(tomli_w.dumps(tables))
+    return path
+
+
+def start_host(path):
+    command = [sys.executable, "-m", "citronspring", "serve", f"--settings={path}"]
+    return subprocess.Popen(command, stdout=subprocess.DEVNULL, env=os.environ)
+
+
+async def test_upload_through_three_serve_processes(tmp_path):
+    """A poet's upload and a reader's preview through three separate processes.
+
+    The fabric sprays their packets at random; each host relays to the flow's
+    owner, which forwards to a target. Both answers come back whole, and SIGTERM
+    ends each process gracefully with exit code 0.
+    """
+    async with anyio.create_task_group() as group:
+        await group.start(serve_platform, MemoryPlatform(), PLATFORM)
+        system = Loopback(group, random.Random(3), SYSTEM_ZONES, first_port=23_000)
+        async with PlatformClient.from_url(f"http://{PLATFORM}") as client:
+            store = ConfigurationStore.from_platform(client, SYSTEM_ZONES)
+            await Operator(store, time.time).set_up()
+            snapshot = await store.read_snapshot()
+        await system.start()
+        await system.add_targets(snapshot)
+        sections = system.describe_hosts(3)
+        processes = [
+            start_host(write_settings(tmp_path / section.id, system, section, sections))
+            for section in sections
+        ]
+        try:
+            system.fabric.hosts += [section.tunnel for section in sections]
+            address = snapshot.accounts[0].addresses[0]
+            sessions = [
+                system.caller.open(address, Request(kind.value, kind, 50_000, 1e6))
+                for kind in (RequestKind.UPLOAD, RequestKind.PREVIEW)
+            ]
+            with anyio.fail_after(30):
+                while any(session.outcome is None for session in sessions):
+                    await anyio.sleep(0.05)
+            for process in processes:
+                process.send_signal(signal.SIGTERM)
+            codes = [
+                await anyio.to_thread.run_sync(process.wait, 20)
+                for process in processes
+            ]
+        finally:
+            for process in processes:
+                process.kill()
+        group.cancel_scope.cancel()
+    assert [session.outcome for session in sessions] == [Outcome.WHOLE] * 2
+    assert codes == [0, 0, 0]
