Add membership, spread of change records, bulk copy and a clock-jump fence to the core

The core knew its peers only from settings and got configuration only at start. Hosts now ping each other in turn, suspect and refute under incarnations, learn members from each other, push new records, repair gaps by the revision on every ping, and copy a whole configuration from a peer. A host whose clock jumped drops what waited until it knows it is current.

--- a/citronspring/balancer.py
+++ b/citronspring/balancer.py
@@ -4,8 +4,10 @@
 
 from typing import TYPE_CHECKING
 
+from citronspring.control.tables import HashedSource, JoinRow, MembershipTable
 from citronspring.entities import HostState
 from citronspring.messages import (
+    ControlReceived,
     HostListRead,
     LeaveRequested,
     PacketReceived,
@@ -13,18 +15,28 @@
     RelayReceived,
     SnapshotRead,
 )
+from citronspring.systems.bulk import run_bulk
+from citronspring.systems.control import receive_control
 from citronspring.systems.drain import check_leaving, request_leave
 from citronspring.systems.expiry import expire_flows, expire_hints
+from citronspring.systems.fence import (
+    check_clock,
+    hear_platform,
+    is_fenced,
+    run_fence,
+)
+from citronspring.systems.membership import run_membership, take_host_list
 from citronspring.systems.openings import expire_openings
 from citronspring.systems.ownership import renew_ring
-from citronspring.systems.revisions import apply_records, apply_snapshot
 from citronspring.systems.routing import receive_packet, receive_relay
 from citronspring.systems.second_chance import expire_walks
+from citronspring.systems.spread import accept_records, accept_snapshot, run_spread
 from citronspring.tables import HostRow, Tables
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from citronspring.control.tables import RandomSource
     from citronspring.entities import Host
     from citronspring.messages import Action, Event
 
@@ -50,11 +62,34 @@
         host: Host,
         peers: Iterable[Host] = (),
         max_flows: int = DEFAULT_MAX_FLOWS,
+        *,
+        incarnation: int = 0,
+        rng: RandomSource | None = None,
     ) -> Balancer:
-        """Make the core of a host that knows some peers and no configuration."""
+        """Make the core of a host that knows some peers and no configuration.
+
+        Parameters
+        ----------
+        host : Host
+            The host itself.
+        peers : iterable of Host
+            Hosts that the settings name; the others are learnt from these.
+        max_flows : int
+            Bound of the flow table.
+        incarnation : int
+            Boot time in milliseconds, so that a restarted host outranks what
+            was said of it.
+        rng : RandomSource, optional
+            Random choices; derived from host and incarnation if not given.
+        """
         tables = Tables(host.host_id, host.zone, host.group, max_flows)
-        for member in (host, *peers):
+        rng = rng or HashedSource.from_host(host.host_id, incarnation)
+        seeds = {member.host_id: member for member in peers}
+        tables.membership = MembershipTable(rng, seeds=frozenset(seeds))
+        tables.membership.join = JoinRow() if seeds else None
+        for member in (host, *seeds.values()):
             tables.hosts[member.host_id] = HostRow(member, HostState.ALIVE)
+        tables.me.incarnation = incarnation
         renew_ring(tables, 0.0)
         return cls(tables)
 
@@ -75,19 +110,26 @@
         """
         actions: list[Action] = []
         tables = self.tables
+        check_clock(tables, now, actions)
         match event:
+            case PacketReceived() | RelayReceived() if is_fenced(tables, actions):
+                pass
             case PacketReceived():
                 tables.last_packet_at = now
                 receive_packet(tables, event, now, actions)
             case RelayReceived():
                 tables.last_packet_at = now
                 receive_relay(tables, event, now, actions)
+            case ControlReceived():
+                receive_control(tables, event, now, actions)
             case SnapshotRead():
-                apply_snapshot(tables, event.snapshot, now)
+                accept_snapshot(tables, event.snapshot, now)
+                hear_platform(tables)
             case RecordsRead():
-                apply_records(tables, event.records, now)
+                accept_records(tables, event.records, now)
+                hear_platform(tables)
             case HostListRead():
-                pass
+                take_host_list(tables, event, now)
             case LeaveRequested():
                 request_leave(tables, event.deadline, now)
         return actions
@@ -96,6 +138,11 @@
         """Run the systems that act on time; to be called several times a second."""
         actions: list[Action] = []
         tables = self.tables
+        check_clock(tables, now, actions)
+        run_fence(tables, now, actions)
+        run_membership(tables, now, actions)
+        run_spread(tables, now, actions)
+        run_bulk(tables, now, actions)
         renew_ring(tables, now)
         expire_openings(tables, now, actions)
         expire_walks(tables, now, actions)
@@ -113,6 +160,8 @@
             "group": tables.group,
             "revision": tables.revision,
             "leaving": tables.leave_deadline is not None,
+            "fenced_until": tables.fence.until,
+            "reader": tables.spread.is_reader,
             "hosts": {
                 host_id: {
                     "state": row.state.value,
--- a/citronspring/control/messages.py
+++ b/citronspring/control/messages.py
@@ -51,11 +51,41 @@
     updates: tuple[HostUpdate, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class Gossip:
+    """News that should not wait for the next `Ping`; not answered."""
+
+    revision: int
+    updates: tuple[HostUpdate, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class MembersRequest:
+    """Please send one part of the list of members."""
+
+    part: int
+
+
+@dataclass(frozen=True, slots=True)
+class Members:
+    """Some members with their sockets."""
+
+    part: int
+    parts: int
+    updates: tuple[HostUpdate, ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class Records:
-    """Change records, pushed when they are new and sent to fill a gap."""
+    """Change records, pushed when they are new and sent to fill a gap.
+
+    A record too large for one datagram goes in ``parts`` messages; each holds the
+    record with some of the account's addresses and targets.
+    """
 
     records: tuple[ChangeRecord, ...]
+    part: int = 0
+    parts: int = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,6 +146,9 @@
     Ping
     | Ack
     | PingRequest
+    | Gossip
+    | MembersRequest
+    | Members
     | Records
     | RecordsRequest
     | SnapshotRequest
--- a/citronspring/messages.py
+++ b/citronspring/messages.py
@@ -184,6 +184,7 @@
     WALK_FULL = "walk-full"
     NO_OWNER = "no-owner"
     DUPLICATE = "duplicate"
+    FENCED = "fenced"
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/citronspring/systems/bulk.py
@@ -0,0 +1,217 @@
+"""Bulk copy: a whole configuration from a peer, for a host that has none."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from citronspring.control.messages import SnapshotPart, SnapshotRequest
+from citronspring.control.tables import BulkRow, OfferRow, sample
+from citronspring.entities import Account, Snapshot
+from citronspring.messages import SendControl
+from citronspring.systems.dissemination import present_hosts
+
+if TYPE_CHECKING:
+    from citronspring.messages import Action
+    from citronspring.tables import Tables
+
+#: Targets and service addresses in one piece of an account. A piece of ordinary
+#: names stays below the datagram that fits every path.
+TARGETS_PER_PIECE = 12
+ADDRESSES_PER_PIECE = 16
+
+#: Weight of one part of a copy; an account weighs one more than its targets.
+PART_WEIGHT = 12
+
+#: Parts asked for at once, and seconds until one is asked for again.
+WINDOW = 4
+PART_RETRY = 0.3
+
+#: Seconds without any part after which another peer is asked.
+PEER_TIME = 1.0
+
+#: Seconds an offered copy is kept after the last question for it.
+OFFER_TIME = 30.0
+
+#: Copies offered at once.
+MAX_OFFERS = 2
+
+#: Parts a second that one host sends, over all who ask, and its burst in seconds.
+PARTS_PER_SECOND = 40.0
+PARTS_BURST = 0.5
+
+
+def slices(account: Account) -> list[Account]:
+    """Cut an account into pieces that each fit a datagram."""
+    targets, addresses = account.targets, account.addresses
+    count = max(
+        1,
+        -(-len(targets) // TARGETS_PER_PIECE),
+        -(-len(addresses) // ADDRESSES_PER_PIECE),
+    )
+    return [
+        replace(
+            account,
+            targets=targets[part * TARGETS_PER_PIECE :][:TARGETS_PER_PIECE],
+            addresses=addresses[part * ADDRESSES_PER_PIECE :][:ADDRESSES_PER_PIECE],
+        )
+        for part in range(count)
+    ]
+
+
+def join_pieces(pieces: list[Account]) -> tuple[Account, ...]:
+    """Put accounts together from pieces in order."""
+    whole: dict[str, Account] = {}
+    for piece in pieces:
+        start = whole.get(piece.account_id)
+        if start is None:
+            whole[piece.account_id] = piece
+            continue
+        whole[piece.account_id] = replace(
+            start,
+            targets=start.targets + piece.targets,
+            addresses=start.addresses + piece.addresses,
+        )
+    return tuple(whole.values())
+
+
+# Giving ------------------------------------------------------------------------
+
+
+def cut_into_parts(accounts: list[Account]) -> list[tuple[Account, ...]]:
+    """Return the parts of a copy; equal accounts give equal parts on every host."""
+    parts: list[tuple[Account, ...]] = []
+    current: list[Account] = []
+    weight = 0
+    for account in sorted(accounts, key=lambda item: item.account_id):
+        for piece in slices(account):
+            more = 1 + len(piece.targets)
+            if current and weight + more > PART_WEIGHT:
+                parts.append(tuple(current))
+                current, weight = [], 0
+            current.append(piece)
+            weight += more
+    parts.append(tuple(current))
+    return parts
+
+
+def find_offer(tables: Tables, revision: int, now: float) -> OfferRow:
+    """Return the copy at a revision, or one at this host's own.
+
+    A copy takes longer than the time between two changes, so it is kept at the
+    revision at which it was begun; the records after it follow by themselves.
+    """
+    offers = tables.spread.offers
+    offer = offers.get(revision) or offers.get(tables.revision)
+    if offer is None:
+        while len(offers) >= MAX_OFFERS:
+            del offers[min(offers)]
+        accounts = [row.account for row in tables.accounts.values()]
+        offer = OfferRow(tables.revision, cut_into_parts(accounts), now)
+        offers[offer.revision] = offer
+    offer.deadline = now + OFFER_TIME
+    return offer
+
+
+def offer_bulk(
+    tables: Tables,
+    peer: str,
+    revision: int,
+    part: int,
+    now: float,
+    actions: list[Action],
+) -> None:
+    """Send one part, paced over all who ask."""
+    spread = tables.spread
+    if tables.revision == 0 or spread.bulk_paid_at - now > PARTS_BURST:
+        return
+    offer = find_offer(tables, revision, now)
+    if offer.revision != revision:
+        part = 0
+    if part >= len(offer.parts):
+        return
+    spread.bulk_paid_at = max(spread.bulk_paid_at, now) + 1.0 / PARTS_PER_SECOND
+    parts = len(offer.parts)
+    message = SnapshotPart(offer.revision, part, parts, offer.parts[part])
+    actions.append(SendControl(peer, message))
+
+
+def expire_offers(tables: Tables, now: float) -> None:
+    """Forget copies nobody asks for any more."""
+    offers = tables.spread.offers
+    for revision in [key for key, row in offers.items() if row.deadline <= now]:
+        del offers[revision]
+
+
+# Taking ------------------------------------------------------------------------
+
+
+def begin_bulk(tables: Tables, peer: str, now: float) -> None:
+    """Start to copy from a peer."""
+    tables.spread.bulk = BulkRow(peer, now + PEER_TIME)
+
+
+def receive_part(
+    tables: Tables, sender: str, message: SnapshotPart, now: float
+) -> Snapshot | None:
+    """Keep a part; return the whole configuration once all are here."""
+    if message.revision <= tables.revision:
+        return None
+    spread = tables.spread
+    if spread.bulk is None:
+        begin_bulk(tables, sender, now)
+    bulk = spread.bulk
+    if bulk is None or message.revision < bulk.revision:
+        return None
+    if message.revision > bulk.revision or bulk.parts != message.parts:
+        restart(bulk, message)
+    bulk.received[message.part] = message.accounts
+    bulk.retry_at = now + PEER_TIME
+    if len(bulk.received) < message.parts:
+        return None
+    spread.bulk = None
+    ordered = [bulk.received[part] for part in sorted(bulk.received)]
+    accounts = join_pieces([piece for part in ordered for piece in part])
+    return Snapshot(message.revision, accounts)
+
+
+def restart(bulk: BulkRow, message: SnapshotPart) -> None:
+    """Begin again with a newer configuration; parts of two must never mix."""
+    bulk.revision = message.revision
+    bulk.parts = message.parts
+    bulk.received.clear()
+    bulk.ask_again_at.clear()
+
+
+def run_bulk(tables: Tables, now: float, actions: list[Action]) -> None:
+    """Ask for missing parts, and another peer when this one fell silent."""
+    expire_offers(tables, now)
+    bulk = tables.spread.bulk
+    if bulk is None:
+        return
+    if bulk.revision and bulk.revision <= tables.revision:
+        tables.spread.bulk = None
+        return
+    if now >= bulk.retry_at:
+        change_peer(tables, bulk, now)
+    for part in missing_parts(bulk, now)[:WINDOW]:
+        bulk.ask_again_at[part] = now + PART_RETRY
+        request = SnapshotRequest(bulk.revision, part)
+        actions.append(SendControl(bulk.peer, request))
+
+
+def missing_parts(bulk: BulkRow, now: float) -> list[int]:
+    """Return the parts to ask for now, as many as may be under way."""
+    wanted = [part for part in range(bulk.parts or 1) if part not in bulk.received]
+    under_way = wanted[:WINDOW]
+    return [part for part in under_way if bulk.ask_again_at.get(part, 0.0) <= now]
+
+
+def change_peer(tables: Tables, bulk: BulkRow, now: float) -> None:
+    """Turn to another peer, one that is known to have a configuration if any."""
+    bulk.retry_at = now + PEER_TIME
+    bulk.ask_again_at.clear()
+    present = present_hosts(tables)
+    able = [name for name in present if tables.hosts[name].revision > tables.revision]
+    for peer in sample(tables.membership.rng, able or present, 1):
+        bulk.peer = peer
--- /dev/null
+++ b/citronspring/systems/control.py
@@ -0,0 +1,87 @@
+"""Control messages: handing each to the system it concerns."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from citronspring.control.messages import (
+    Ack,
+    Gossip,
+    Members,
+    MembersRequest,
+    Ping,
+    PingRequest,
+    Records,
+    RecordsRequest,
+    SnapshotPart,
+    SnapshotRequest,
+)
+from citronspring.systems.bulk import offer_bulk, receive_part
+from citronspring.systems.dissemination import take_updates
+from citronspring.systems.fence import check_reached, hear_revision
+from citronspring.systems.membership import (
+    receive_ack,
+    receive_members,
+    receive_members_request,
+    receive_ping,
+    receive_ping_request,
+)
+from citronspring.systems.spread import (
+    accept_snapshot,
+    hear_of_revision,
+    receive_records,
+    receive_records_request,
+)
+
+if TYPE_CHECKING:
+    from citronspring.messages import Action, ControlReceived
+    from citronspring.tables import Tables
+
+
+def receive_control(
+    tables: Tables, event: ControlReceived, now: float, actions: list[Action]
+) -> None:
+    """Handle one authenticated message from another host."""
+    message, sender = event.message, event.sender
+    match message:
+        case Ping() | Ack() | PingRequest() | Gossip() | Members():
+            take_updates(tables, message.updates, now)
+    if sender not in tables.hosts or sender == tables.host_id:
+        # There is no address to answer to; a host in doubt introduces itself.
+        tables.counters["control.unknown-sender"] += 1
+        return
+    tables.membership.heard_at = now
+    match message:
+        case Ping() | Ack() | PingRequest() | Gossip():
+            hear_of_revision(tables, sender, message.revision, now, actions)
+    dispatch(tables, sender, message, now, actions)
+    check_reached(tables)
+
+
+def dispatch(
+    tables: Tables, sender: str, message: object, now: float, actions: list[Action]
+) -> None:
+    """Hand a message to its system."""
+    match message:
+        case Ping():
+            receive_ping(tables, sender, message, actions)
+        case Ack():
+            receive_ack(tables, sender, message, actions)
+            hear_revision(tables, message.sequence, message.revision)
+        case PingRequest():
+            receive_ping_request(tables, sender, message, now, actions)
+        case MembersRequest():
+            receive_members_request(tables, sender, message, actions)
+        case Members():
+            receive_members(tables, message, now)
+        case Records():
+            receive_records(tables, sender, message, now, actions)
+        case RecordsRequest():
+            receive_records_request(tables, sender, message, now, actions)
+        case SnapshotRequest():
+            revision, part = message.revision, message.part
+            offer_bulk(tables, sender, revision, part, now, actions)
+        case SnapshotPart():
+            snapshot = receive_part(tables, sender, message, now)
+            if snapshot is not None:
+                accept_snapshot(tables, snapshot, now)
--- /dev/null
+++ b/citronspring/systems/dissemination.py
@@ -0,0 +1,191 @@
+"""Dissemination: which news of a host counts, and how it is passed on."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from citronspring.control.messages import Gossip, HostUpdate
+from citronspring.control.tables import UpdateRow, sample
+from citronspring.entities import HostState
+from citronspring.messages import SendControl
+from citronspring.tables import HostRow
+
+if TYPE_CHECKING:
+    from citronspring.messages import Action
+    from citronspring.tables import Tables
+
+#: Of two pieces of news under one incarnation the higher counts.
+RANKS = {
+    HostState.ALIVE: 0,
+    HostState.SUSPECT: 1,
+    HostState.LEAVING: 2,
+    HostState.DEAD: 3,
+}
+
+#: States of hosts that take part.
+PRESENT = (HostState.ALIVE, HostState.SUSPECT, HostState.LEAVING)
+
+#: Seconds a suspect has to refute before it is held dead.
+SUSPECT_TIME = 1.5
+
+#: Seconds after which a dead host is forgotten. Until then it is pinged now and
+#: then, so that the two sides of a healed partition find each other.
+FORGET_TIME = 900.0
+
+#: News in one message.
+MAX_UPDATES = 6
+
+#: Messages one piece of news goes out with, times the logarithm of the fleet.
+TRANSMISSION_FACTOR = 2
+
+#: Seconds between two rounds in which fresh news goes to random hosts.
+GOSSIP_INTERVAL = 0.2
+
+#: Hosts it goes to in a round.
+GOSSIP_FANOUT = 2
+
+
+def present_hosts(tables: Tables) -> list[str]:
+    """Return the other hosts that take part."""
+    return [
+        host_id
+        for host_id, row in tables.hosts.items()
+        if row.state in PRESENT and host_id != tables.host_id
+    ]
+
+
+def outranks(update: HostUpdate, row: HostRow) -> bool:
+    """Whether news is newer than what is known of a host."""
+    if update.incarnation != row.incarnation:
+        return update.incarnation > row.incarnation
+    return RANKS[update.state] > RANKS[row.state]
+
+
+def take_updates(tables: Tables, updates: tuple[HostUpdate, ...], now: float) -> None:
+    """Take news of hosts from a message."""
+    for update in updates:
+        if update.host_id == tables.host_id:
+            refute(tables, update)
+        else:
+            take_update(tables, update, now)
+
+
+def refute(tables: Tables, update: HostUpdate) -> None:
+    """Outrank a rumour about this host.
+
+    Without it a host once suspected, or one that restarts under an id that was
+    declared dead, would be left out by everybody while it serves.
+    """
+    me = tables.me
+    if outranks(update, me):
+        tables.counters["membership.refuted"] += 1
+        me.incarnation = update.incarnation + 1
+        queue_update(tables, describe(me))
+
+
+def take_update(tables: Tables, update: HostUpdate, now: float) -> bool:
+    """Take news of another host; return whether it was new."""
+    row = tables.hosts.get(update.host_id)
+    if row is None:
+        return add_host(tables, update)
+    if not outranks(update, row):
+        return False
+    if update.incarnation > row.incarnation:
+        tables.membership.introduced.discard(update.host_id)
+    set_state(tables, row, update.state, now)
+    row.incarnation = update.incarnation
+    row.host = update.host or row.host
+    queue_update(tables, update)
+    return True
+
+
+def add_host(tables: Tables, update: HostUpdate) -> bool:
+    """Add a host that is new here; news without sockets or of the dead is none."""
+    if update.host is None or update.state not in PRESENT:
+        return False
+    row = HostRow(update.host, update.state, update.incarnation)
+    if update.state is HostState.SUSPECT:
+        row.state = HostState.ALIVE
+    tables.hosts[update.host_id] = row
+    tables.counters["membership.joined"] += 1
+    queue_update(tables, update)
+    return True
+
+
+def set_state(tables: Tables, row: HostRow, state: HostState, now: float) -> None:
+    """Change a host's state and store the deadline that goes with it."""
+    row.state = state
+    row.suspect_until = 0.0
+    match state:
+        case HostState.SUSPECT:
+            row.suspect_until = now + SUSPECT_TIME
+            tables.counters["membership.suspected"] += 1
+        case HostState.DEAD:
+            row.forget_at = now + FORGET_TIME
+            tables.membership.introduced.discard(row.host.host_id)
+            tables.counters["membership.died"] += 1
+
+
+def describe(row: HostRow, with_host: bool = False) -> HostUpdate:
+    """Return what is known of a host as news."""
+    host = row.host if with_host else None
+    return HostUpdate(row.host.host_id, row.state, row.incarnation, host)
+
+
+def queue_update(tables: Tables, update: HostUpdate) -> None:
+    """Pass news on with the next messages."""
+    tables.membership.updates[update.host_id] = UpdateRow(update)
+
+
+def transmission_limit(tables: Tables) -> int:
+    """Return how many messages one piece of news goes out with."""
+    return TRANSMISSION_FACTOR * len(tables.hosts).bit_length()
+
+
+def next_updates(
+    tables: Tables, *first: HostUpdate, limit: int = MAX_UPDATES
+) -> tuple[HostUpdate, ...]:
+    """Return news for a message, what went out least often first."""
+    waiting = tables.membership.updates
+    named = {update.host_id for update in first}
+    chosen = sorted(waiting.values(), key=lambda row: row.sent)[:limit]
+    most = transmission_limit(tables)
+    for row in chosen:
+        row.sent += 1
+        if row.sent >= most:
+            del waiting[row.update.host_id]
+    news = (row.update for row in chosen if row.update.host_id not in named)
+    return (*first, *news)
+
+
+def gossip(tables: Tables, actions: list[Action]) -> None:
+    """Send fresh news to a few random hosts.
+
+    On pings alone news takes a period for each doubling of those who know it;
+    with hundreds of hosts that is slower than a suspect can refute.
+    """
+    membership = tables.membership
+    if not membership.updates:
+        return
+    for peer in sample(membership.rng, present_hosts(tables), GOSSIP_FANOUT):
+        message = Gossip(tables.revision, next_updates(tables))
+        actions.append(SendControl(peer, message))
+
+
+def announce(tables: Tables, state: HostState) -> None:
+    """Change this host's own state under a new incarnation."""
+    me = tables.me
+    me.state = state
+    me.incarnation += 1
+    queue_update(tables, describe(me))
+
+
+def introduction(tables: Tables) -> HostUpdate:
+    """Return this host's own sockets and state."""
+    return describe(tables.me, with_host=True)
+
+
+def without_host(update: HostUpdate) -> HostUpdate:
+    """Return news without the sockets."""
+    return replace(update, host=None)
--- /dev/null
+++ b/citronspring/systems/fence.py
@@ -0,0 +1,121 @@
+"""Fence: a host whose clock jumped forwards nothing until it knows it is current.
+
+A frozen host sleeps through changes. When it wakes, packets that waited in its
+sockets would go where the configuration of before the freeze sends them, perhaps
+to an address that has moved to another client account meanwhile.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from citronspring.control.tables import sample
+from citronspring.messages import Drop, DropReason, ReadPlatform
+from citronspring.systems.dissemination import SUSPECT_TIME, present_hosts
+from citronspring.systems.membership import send_ping
+
+if TYPE_CHECKING:
+    from citronspring.messages import Action
+    from citronspring.tables import Tables
+
+#: Seconds between two ticks from which on the clock counts as having jumped.
+JUMP = 3.0
+
+#: Seconds after which a host cut off from everybody serves what it can again.
+FENCE_TIME = 2.0
+
+#: Seconds between two rounds of questions.
+ASK_INTERVAL = 0.25
+
+#: Peers asked in a round.
+PEERS_ASKED = 3
+
+
+def check_clock(tables: Tables, now: float, actions: list[Action]) -> None:
+    """Raise the fence if the last tick is too long ago."""
+    fence = tables.fence
+    if fence.ticked_at is None or now - fence.ticked_at < JUMP:
+        return
+    tables.counters["fence.raised"] += 1
+    fence.ticked_at = now
+    fence.until = now + FENCE_TIME
+    fence.required = None
+    fence.sequences.clear()
+    renew_suspicions(tables, now)
+    actions.append(ReadPlatform(tables.revision))
+    ask_peers(tables, now, actions)
+
+
+def renew_suspicions(tables: Tables, now: float) -> None:
+    """Start over with hosts in doubt; their time passed while nobody listened."""
+    tables.membership.probes.clear()
+    for row in tables.hosts.values():
+        if row.suspect_until > 0.0:
+            row.suspect_until = now + SUSPECT_TIME
+
+
+def run_fence(tables: Tables, now: float, actions: list[Action]) -> None:
+    """Ask again, and lower the fence when there is nobody to ask."""
+    fence = tables.fence
+    fence.ticked_at = now
+    if fence.until is None:
+        return
+    if now >= fence.until:
+        tables.counters["fence.expired"] += 1
+        lower(tables)
+    elif now >= fence.ask_at:
+        ask_peers(tables, now, actions)
+
+
+def ask_peers(tables: Tables, now: float, actions: list[Action]) -> None:
+    """Ask a few peers for their revision."""
+    fence = tables.fence
+    fence.ask_at = now + ASK_INTERVAL
+    present = present_hosts(tables)
+    for peer in sample(tables.membership.rng, present, PEERS_ASKED):
+        sequence = tables.membership.next_sequence()
+        fence.sequences.add(sequence)
+        send_ping(tables, peer, sequence, actions)
+
+
+def hear_revision(tables: Tables, sequence: int, revision: int) -> None:
+    """Take a peer's answer if it was asked since the jump.
+
+    An answer that waited in the socket through the freeze proves nothing, and
+    neither does one from a peer that is itself behind.
+    """
+    fence = tables.fence
+    if fence.until is None or sequence not in fence.sequences:
+        return
+    if revision >= tables.revision:
+        fence.required = max(revision, fence.required or 0)
+    check_reached(tables)
+
+
+def check_reached(tables: Tables) -> None:
+    """Lower the fence once the revision that was heard of is in force."""
+    required = tables.fence.required
+    if required is not None and tables.revision >= required:
+        lower(tables)
+
+
+def hear_platform(tables: Tables) -> None:
+    """Take the platform's answer, which was asked for since the jump."""
+    if tables.fence.until is not None:
+        lower(tables)
+
+
+def lower(tables: Tables) -> None:
+    """Forward again."""
+    tables.fence.until = None
+    tables.fence.required = None
+    tables.fence.sequences.clear()
+
+
+def is_fenced(tables: Tables, actions: list[Action]) -> bool:
+    """Whether a packet that arrives is to be dropped; counts it."""
+    if tables.fence.until is None:
+        return False
+    actions.append(Drop(DropReason.FENCED))
+    tables.counters["fence.dropped"] += 1
+    return True
--- a/citronspring/tables.py
+++ b/citronspring/tables.py
@@ -7,6 +7,12 @@
 from enum import IntEnum
 from typing import TYPE_CHECKING
 
+from citronspring.control.tables import (
+    FenceRow,
+    HashedSource,
+    MembershipTable,
+    SpreadTable,
+)
 from citronspring.entities import Account, FlowKey, Host, HostState, ServiceKey, Target
 from citronspring.rendezvous import OwnerRing, seed_of
 
@@ -257,6 +263,11 @@
     last_packet_at: float = 0.0
     #: Wheel buckets before this one have been looked at.
     wheel_position: int = 0
+    membership: MembershipTable = field(
+        default_factory=lambda: MembershipTable(HashedSource(0))
+    )
+    spread: SpreadTable = field(default_factory=SpreadTable)
+    fence: FenceRow = field(default_factory=FenceRow)
 
     @property
     def me(self) -> HostRow:
