--- /dev/null
+++ b/citronspring/control/codec.py
@@ -0,0 +1,280 @@
+"""Control messages to bytes and back, in thrift's compact protocol."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
+from thrift.protocol.TProtocol import TProtocolException
+from thrift.transport.TTransport import TMemoryBuffer, TTransportException
+
+from citronspring.control.generated import ttypes
+from citronspring.control.messages import (
+    AccountUse,
+    Ack,
+    ControlMessage,
+    Gossip,
+    HostUpdate,
+    Loads,
+    Members,
+    MembersRequest,
+    Ping,
+    PingRequest,
+    Records,
+    RecordsRequest,
+    SnapshotPart,
+    SnapshotRequest,
+    TargetLoad,
+)
+from citronspring.control.wire import (
+    STATES,
+    STATES_BY_NUMBER,
+    integer,
+    items,
+    malformed,
+    name,
+    read_account,
+    read_host,
+    read_record,
+    write_account,
+    write_host,
+    write_record,
+)
+
+#: Most items in a list and bytes in a string, against lengths made up to exhaust
+#: memory.
+MAX_ITEMS = 512
+MAX_STRING = 1024
+
+#: Most parts of a whole configuration.
+MAX_PARTS = 1 << 20
+
+FACTORY = TCompactProtocolAcceleratedFactory(
+    string_length_limit=MAX_STRING, container_length_limit=MAX_ITEMS
+)
+
+#: What the thrift library raises on bytes that are no struct of the IDL.
+DECODING_ERRORS = (
+    EOFError,
+    MemoryError,
+    OverflowError,
+    RecursionError,
+    TProtocolException,
+    TTransportException,
+    TypeError,
+    ValueError,
+)
+
+
+def encode(struct: ttypes.Envelope) -> bytes:
+    """Return the bytes of a struct."""
+    buffer = TMemoryBuffer()
+    struct.write(FACTORY.getProtocol(buffer))
+    return bytes(buffer.getvalue())
+
+
+def decode(data: bytes) -> ttypes.Envelope:
+    """Read an envelope.
+
+    Raises
+    ------
+    ControlMessageError
+        When the bytes are none, or more follow.
+    """
+    buffer = TMemoryBuffer(data)
+    envelope = ttypes.Envelope()
+    try:
+        envelope.read(FACTORY.getProtocol(buffer))
+    except DECODING_ERRORS as error:
+        raise malformed(f"encoding ({type(error).__name__})") from None
+    if buffer.cstringio_buf.tell() != len(data):
+        raise malformed("length")
+    return envelope
+
+
+def write_update(update: HostUpdate) -> ttypes.HostUpdate:
+    """Return the struct of news of a host."""
+    host = None if update.host is None else write_host(update.host)
+    return ttypes.HostUpdate(
+        update.host_id, STATES[update.state], update.incarnation, host
+    )
+
+
+def read_update(struct: ttypes.HostUpdate) -> HostUpdate:
+    """Return news of a host."""
+    host_id = name(struct.host_id, "host")
+    if struct.state not in STATES_BY_NUMBER:
+        raise malformed("host state")
+    return HostUpdate(
+        host_id,
+        STATES_BY_NUMBER[struct.state],
+        integer(struct.incarnation, "incarnation"),
+        None if struct.host is None else read_host(struct.host, host_id),
+    )
+
+
+def write_updates(updates: tuple[HostUpdate, ...]) -> list[ttypes.HostUpdate]:
+    """Return the structs of news."""
+    return [write_update(update) for update in updates]
+
+
+def write_message(message: ControlMessage) -> ttypes.Message:
+    """Return the union that holds a message."""
+    match message:
+        case Ping(sequence, revision, updates):
+            ping = ttypes.Ping(sequence, revision, write_updates(updates))
+            return ttypes.Message(ping=ping)
+        case Ack(sequence, revision, updates):
+            ack = ttypes.Ack(sequence, revision, write_updates(updates))
+            return ttypes.Message(ack=ack)
+        case PingRequest(sequence, host_id, revision, updates):
+            news = write_updates(updates)
+            request = ttypes.PingRequest(sequence, host_id, revision, news)
+            return ttypes.Message(ping_request=request)
+        case Gossip(revision, updates):
+            gossip = ttypes.Gossip(revision, write_updates(updates))
+            return ttypes.Message(gossip=gossip)
+        case MembersRequest(part):
+            return ttypes.Message(members_request=ttypes.MembersRequest(part))
+        case Members(part, parts, updates):
+            members = ttypes.Members(part, parts, write_updates(updates))
+            return ttypes.Message(members=members)
+        case _:
+            return write_configuration_message(message)
+
+
+def write_configuration_message(message: ControlMessage) -> ttypes.Message:
+    """Return the union that holds a message about configuration or loads."""
+    match message:
+        case Records(records, part, parts):
+            written = [write_record(record) for record in records]
+            return ttypes.Message(records=ttypes.Records(written, part, parts))
+        case RecordsRequest(after):
+            return ttypes.Message(records_request=ttypes.RecordsRequest(after))
+        case SnapshotRequest(revision, part):
+            request = ttypes.SnapshotRequest(revision, part)
+            return ttypes.Message(snapshot_request=request)
+        case SnapshotPart(revision, part, parts, accounts):
+            written = [write_account(account) for account in accounts]
+            snapshot = ttypes.SnapshotPart(revision, part, parts, written)
+            return ttypes.Message(snapshot_part=snapshot)
+        case Loads(targets, accounts):
+            return ttypes.Message(loads=write_loads(targets, accounts))
+        case _:
+            raise malformed("type")
+
+
+def write_loads(
+    targets: tuple[TargetLoad, ...], accounts: tuple[AccountUse, ...]
+) -> ttypes.Loads:
+    """Return the struct of loads and uses."""
+    return ttypes.Loads(
+        [
+            ttypes.TargetLoad(item.target_id, item.flows, item.load, item.healthy)
+            for item in targets
+        ],
+        [ttypes.AccountUse(item.account_id, item.open_flows) for item in accounts],
+    )
+
+
+def read_message(union: ttypes.Message | None) -> ControlMessage:
+    """Return the one message that a union holds."""
+    if union is None:
+        raise malformed("type")
+    held = [
+        value
+        for field in ttypes.Message.__slots__
+        if (value := getattr(union, field)) is not None
+    ]
+    if len(held) != 1:
+        raise malformed("type")
+    return read_struct(held[0])
+
+
+def read_struct(struct: Any) -> ControlMessage:
+    """Return the message of a generated struct."""
+    match struct:
+        case ttypes.Ping():
+            return Ping(*read_heartbeat(struct))
+        case ttypes.Ack():
+            return Ack(*read_heartbeat(struct))
+        case ttypes.PingRequest():
+            sequence, revision, updates = read_heartbeat(struct)
+            host_id = name(struct.host_id, "host")
+            return PingRequest(sequence, host_id, revision, updates)
+        case ttypes.Gossip():
+            revision = integer(struct.revision, "revision")
+            return Gossip(revision, items(struct.updates, read_update))
+        case ttypes.MembersRequest():
+            return MembersRequest(integer(struct.part, "part", MAX_PARTS))
+        case ttypes.Members():
+            part, parts = read_part(struct, least=0)
+            return Members(part, parts, items(struct.updates, read_update))
+        case _:
+            return read_configuration_struct(struct)
+
+
+def read_heartbeat(struct: Any) -> tuple[int, int, tuple[HostUpdate, ...]]:
+    """Return what pings and their answers have in common."""
+    return (
+        integer(struct.sequence, "sequence number"),
+        integer(struct.revision, "revision"),
+        items(struct.updates, read_update),
+    )
+
+
+def read_part(struct: Any, least: int = 1) -> tuple[int, int]:
+    """Return which part of how many a message is."""
+    parts = integer(struct.parts, "number of parts", MAX_PARTS)
+    if parts < least:
+        raise malformed("number of parts")
+    highest = max(parts - 1, 0) if least else MAX_PARTS
+    return integer(struct.part, "part", highest), parts
+
+
+def read_configuration_struct(struct: Any) -> ControlMessage:
+    """Return a message about configuration or loads."""
+    match struct:
+        case ttypes.Records():
+            return read_records(struct)
+        case ttypes.RecordsRequest():
+            return RecordsRequest(integer(struct.after_revision, "revision"))
+        case ttypes.SnapshotRequest():
+            part = integer(struct.part, "part", MAX_PARTS)
+            return SnapshotRequest(integer(struct.revision, "revision"), part)
+        case ttypes.SnapshotPart():
+            part, parts = read_part(struct)
+            accounts = items(struct.accounts, read_account)
+            revision = integer(struct.revision, "revision")
+            return SnapshotPart(revision, part, parts, accounts)
+        case ttypes.Loads():
+            targets = items(struct.targets, read_target_load)
+            return Loads(targets, items(struct.accounts, read_account_use))
+        case _:
+            raise malformed("type")
+
+
+def read_records(struct: ttypes.Records) -> Records:
+    """Return change records; a piece is always of one record with an account."""
+    part, parts = read_part(struct)
+    records = items(struct.records, read_record)
+    if parts > 1 and (len(records) != 1 or records[0].account is None):
+        raise malformed("piece of a change record")
+    return Records(records, part, parts)
+
+
+def read_target_load(struct: ttypes.TargetLoad) -> TargetLoad:
+    """Return the load of a target."""
+    load = struct.load
+    return TargetLoad(
+        name(struct.target_id, "target"),
+        integer(struct.flows, "number of flows"),
+        None if load is None else integer(load, "load", 255),
+        struct.healthy,
+    )
+
+
+def read_account_use(struct: ttypes.AccountUse) -> AccountUse:
+    """Return the use of an account."""
+    flows = integer(struct.open_flows, "number of flows")
+    return AccountUse(name(struct.account_id, "account"), flows)
--- a/citronspring/errors.py
+++ b/citronspring/errors.py
@@ -124,6 +124,20 @@
 
 
 class ControlMessageError(CitronspringError):
-    """A control datagram is malformed, forged or replayed."""
+    """A control datagram is malformed, forged or replayed.
+
+    Parameters
+    ----------
+    message, remedy : str
+        As for every error.
+    reason : str
+        Stable word under which it is counted.
+    """
 
     kind = "control-message"
+
+    def __init__(
+        self, message: str, remedy: str = "", *, reason: str = "malformed"
+    ) -> None:
+        self.reason = reason
+        super().__init__(message, remedy)
--- a/citronspring/systems/bulk.py
+++ b/citronspring/systems/bulk.py
@@ -17,11 +17,11 @@
 
 #: Targets and service addresses in one piece of an account. A piece of ordinary
 #: names stays below the datagram that fits every path.
-TARGETS_PER_PIECE = 12
+TARGETS_PER_PIECE = 18
 ADDRESSES_PER_PIECE = 16
 
 #: Weight of one part of a copy; an account weighs one more than its targets.
-PART_WEIGHT = 12
+PART_WEIGHT = 20
 
 #: Parts asked for at once, and seconds until one is asked for again.
 WINDOW = 4
--- a/citronspring/systems/control.py
+++ b/citronspring/systems/control.py
@@ -44,7 +44,7 @@
     """Handle one authenticated message from another host."""
     message, sender = event.message, event.sender
     match message:
-        case Ping() | Ack() | PingRequest() | Gossip() | Members():
+        case Ping() | Ack() | PingRequest() | Gossip():
             take_updates(tables, message.updates, now)
     if sender not in tables.hosts or sender == tables.host_id:
         # There is no address to answer to; a host in doubt introduces itself.
--- a/citronspring/systems/dissemination.py
+++ b/citronspring/systems/dissemination.py
@@ -88,7 +88,10 @@
     """Take news of another host; return whether it was new."""
     row = tables.hosts.get(update.host_id)
     if row is None:
-        return add_host(tables, update)
+        if not add_host(tables, update):
+            return False
+        queue_update(tables, update)
+        return True
     if not outranks(update, row):
         return False
     if update.incarnation > row.incarnation:
@@ -109,7 +112,6 @@
         row.state = HostState.ALIVE
     tables.hosts[update.host_id] = row
     tables.counters["membership.joined"] += 1
-    queue_update(tables, update)
     return True
 
 
--- a/citronspring/systems/membership.py
+++ b/citronspring/systems/membership.py
@@ -18,6 +18,7 @@
     GOSSIP_INTERVAL,
     PRESENT,
     SUSPECT_TIME,
+    add_host,
     describe,
     gossip,
     introduction,
@@ -288,7 +289,14 @@
 
 
 def receive_members(tables: Tables, message: Members, now: float) -> None:
-    """Go on to the next part, or end."""
+    """Add members that are new here, and go on to the next part, or end.
+
+    What is in the list is no news to others: passing it on would cost a fleet
+    that starts at once more than all else.
+    """
+    for update in message.updates:
+        if update.host_id not in tables.hosts:
+            add_host(tables, update)
     join = tables.membership.join
     if join is None or join.part != message.part:
         return
--- /dev/null
+++ b/tests/test_control/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the control messages on the wire."""
