--- a/citronspring/systems/membership.py
+++ b/citronspring/systems/membership.py
@@ -34,7 +34,7 @@
     from citronspring.tables import HostRow, Tables
 
 #: Seconds between two pings to hosts in turn.
-PERIOD = 1.0
+PERIOD = 0.5
 
 #: Seconds between two tries to reach a host that does not answer.
 RETRY_INTERVAL = 0.25
--- /dev/null
+++ b/tests/test_systems/test_membership.py
@@ -0,0 +1,258 @@
+"""Membership: who serves, as every host sees it, under failure."""
+
+from __future__ import annotations
+
+import pytest
+
+from citronspring.control.messages import Ack, HostUpdate, Ping
+from citronspring.entities import HostState
+from citronspring.messages import (
+    ControlReceived,
+    Drop,
+    DropReason,
+    HostListRead,
+    LeaveRequested,
+)
+from tests.conftest import make_host
+from tests.test_systems import driver
+from tests.test_systems.cluster import SETTLE, Cluster
+
+
+def settled(**options):
+    cluster = Cluster.of(**options)
+    cluster.run(SETTLE)
+    assert cluster.all_alive()
+    return cluster
+
+
+def test_hosts_that_know_three_seeds_learn_all_the_others():
+    settled(count=24)
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_killed_host_leaves_every_ring_within_four_seconds(seed):
+    """A host loses power; until others own its flows, callers get no answer.
+
+    Somebody pings it, asks again and through others, then suspects it; nobody
+    refutes, so that it is held dead by all. Until then it stays in the ring.
+    """
+    cluster = settled(seed=seed)
+    cluster.network.kill_host("host-4")
+    took = cluster.run_until(
+        lambda: cluster.states_of("host-4") == {HostState.DEAD}, 5.0
+    )
+    assert took <= 4.0
+    rings = {core.tables.ring.members for core in cluster.network.hosts.values()}
+    assert all("host-4" not in ring for ring in rings)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_no_false_death_at_a_tenth_of_packets_lost(seed):
+    """One datagram in ten is lost; held dead for that, a host loses its flows.
+
+    Second chance would have to find each of them. A host is asked several times
+    and through others; one that is suspected all the same hears of it and
+    refutes, since suspicion is told to it first.
+    """
+    cluster = settled(seed=seed, loss=0.1)
+    cluster.run(60.0)
+    assert cluster.counted("membership.died") == 0
+    assert cluster.all_alive()
+
+
+def test_suspected_host_refutes_under_a_new_incarnation():
+    """A rumour says that a serving host is suspect.
+
+    If it could not answer, any slip would end in its death. It hears the rumour
+    on a ping, raises its incarnation, and the rumour loses everywhere.
+    """
+    cluster = settled()
+    rumour = HostUpdate("host-5", HostState.SUSPECT, 1)
+    event = ControlReceived("host-1", Ping(1, 1, (rumour,)))
+    cluster.network.give("host-2", event)
+    assert cluster.core("host-2").tables.hosts["host-5"].state is HostState.SUSPECT
+    assert "host-5" in cluster.core("host-2").tables.ring.members
+    cluster.run(1.4)
+    assert cluster.states_of("host-5") == {HostState.ALIVE}
+    assert cluster.core("host-5").tables.me.incarnation == 2
+    assert cluster.counted("membership.died") == 0
+
+
+def test_restarted_host_outranks_the_rumour_of_its_death():
+    """A host dies, is held dead, and starts again under the same name.
+
+    Rumours of its death still travel; if they counted it would never own a flow
+    again. Its boot time is its incarnation, and so outranks them.
+    """
+    cluster = settled()
+    cluster.network.kill_host("host-6")
+    cluster.run_until(lambda: cluster.states_of("host-6") == {HostState.DEAD}, 5.0)
+    cluster.start("host-6", 1000)
+    assert cluster.run_until(cluster.all_alive, 4.0) <= 4.0
+    rumour = HostUpdate("host-6", HostState.DEAD, 1)
+    cluster.network.give("host-2", ControlReceived("host-1", Ping(1, 1, (rumour,))))
+    assert cluster.core("host-2").tables.hosts["host-6"].state is HostState.ALIVE
+
+
+def test_host_restarted_with_its_clock_behind_still_gets_back_in():
+    """A host starts again and its clock is behind that of its last run.
+
+    Its incarnation is then lower than what the others hold of it. Whoever it
+    pings tells it so, and it goes one higher.
+    """
+    cluster = settled()
+    cluster.core("host-6").tables.me.incarnation = 5000
+    cluster.network.kill_host("host-6")
+    for core in cluster.network.hosts.values():
+        core.tables.hosts["host-6"].incarnation = 5000
+    cluster.run_until(lambda: cluster.states_of("host-6") == {HostState.DEAD}, 5.0)
+    cluster.start("host-6", 2)
+    cluster.run_until(cluster.all_alive, 4.0)
+    assert cluster.core("host-6").tables.me.incarnation == 5001
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_healed_partition_agrees_within_four_seconds(seed):
+    """One zone is cut off from the others and from the platform, for a minute.
+
+    Its hosts and the others hold each other dead and serve what they reach. A
+    change is committed meanwhile. Once the cut ends, the pings that still go to
+    the dead find them; each learns what is said of it and refutes, and the
+    revision on the pings brings the change across.
+    """
+    cluster = settled(seed=seed, loss=0.02)
+    zone = cluster.hosts[0].zone
+    inside = {host.host_id for host in cluster.hosts if host.zone == zone}
+    others = {host.zone for host in cluster.hosts} - {zone}
+    cluster.network.cuts = {frozenset((zone, other)) for other in others}
+    cluster.run(10.0)
+    cluster.commit()
+    cluster.read_now("host-1")
+    cluster.run(50.0)
+    for name, core in cluster.network.hosts.items():
+        assert set(core.tables.ring.members) == (
+            inside if name in inside else set(cluster.network.hosts) - inside
+        )
+    cluster.platform_up = False
+    cluster.network.cuts = set()
+    agreed = lambda: cluster.all_alive() and cluster.agreed()  # noqa: E731
+    assert cluster.run_until(agreed, 5.0) <= 4.0
+
+
+def test_leaving_is_announced_to_all_and_the_host_goes_on():
+    """An operator stops a host. Work given to it from now on would be cut.
+
+    It says itself that it leaves, before anything else: nobody gives it new
+    flows, while its core goes on to answer and serve what it has.
+    """
+    cluster = settled(loss=0.1)
+    core = cluster.core("host-3")
+    core.receive(LeaveRequested(cluster.network.now + 30.0), cluster.network.now)
+    took = cluster.run_until(
+        lambda: cluster.states_of("host-3") == {HostState.LEAVING}, 3.0
+    )
+    assert took <= 2.0
+    cluster.run(10.0)
+    assert cluster.states_of("host-3") == {HostState.LEAVING}
+    for other in cluster.network.hosts.values():
+        assert "host-3" not in other.tables.ring.members
+    cluster.network.kill_host("host-3")
+    cluster.run_until(lambda: cluster.states_of("host-3") == {HostState.DEAD}, 6.0)
+
+
+def test_platform_list_kills_nobody_and_lets_the_dead_be_forgotten():
+    """The platform's list lags: it misses a live host and names a dead one.
+
+    Taken at its word it would take a serving host out of the ring. It decides
+    only how long a host that no longer answers is remembered.
+    """
+    cluster = settled()
+    cluster.network.kill_host("host-8")
+    cluster.run_until(lambda: cluster.states_of("host-8") == {HostState.DEAD}, 5.0)
+    event = HostListRead(frozenset({"host-0"}), frozenset())
+    for name in cluster.network.hosts:
+        cluster.network.give(name, event)
+    assert cluster.all_alive()
+    cluster.run(61.0)
+    assert cluster.states_of("host-8") == {None}
+    assert cluster.all_alive()
+
+
+def test_unknown_sender_changes_nothing(snapshot):
+    """A host nobody knows sends a ping without saying where it is."""
+    core = driver.make_core(snapshot, hosts=2)
+    actions = core.receive(ControlReceived("host-7", Ping(1, 9)), 0.0)
+    assert actions == []
+    assert set(core.tables.hosts) == {"host-0", "host-1"}
+    assert core.tables.counters["control.unknown-sender"] == 1
+    me = HostUpdate("host-7", HostState.ALIVE, 1, make_host(7))
+    core.receive(ControlReceived("host-7", Ping(1, 0, (me,))), 0.0)
+    assert core.tables.hosts["host-7"].host == make_host(7)
+
+
+def test_frozen_host_drops_what_waited_until_it_is_current():
+    """A host is frozen through a change and wakes with packets in its sockets.
+
+    Forwarded by its old configuration they could reach an address that belongs
+    to another client account by now. It notices that its clock jumped, drops
+    packets, asks its peers for their revision and takes the change first.
+    """
+    cluster = settled()
+    core = cluster.core("host-5")
+    cluster.network.freeze("host-5")
+    cluster.run(2.0)
+    cluster.commit()
+    cluster.read_now("host-1")
+    cluster.run(8.0)
+    drops = []
+    cluster.network.observers.append(
+        lambda name, action: drops.append(name) if fenced(action) else None
+    )
+    cluster.network.arrive(
+        "host-5", lambda: cluster.network.give("host-5", driver.syn(driver.flow_to()))
+    )
+    cluster.network.wake("host-5")
+    assert drops == ["host-5"]
+    assert core.tables.flows.rows == {}
+    cluster.run_until(lambda: core.tables.fence.until is None, 1.0)
+    assert core.tables.revision == 2
+    cluster.network.give("host-5", driver.syn(driver.flow_to()))
+    assert drops == ["host-5"]
+    cluster.run_until(cluster.all_alive, 4.0)
+
+
+def fenced(action):
+    return isinstance(action, Drop) and action.reason is DropReason.FENCED
+
+
+def test_frozen_host_that_reaches_nobody_serves_again_by_a_deadline(snapshot):
+    """A host wakes cut off from its peers and the platform.
+
+    Waiting for an answer for ever would end its service. After a stored
+    deadline it serves what it can, as a cut-off zone does.
+    """
+    core = driver.make_core(snapshot)
+    core.tick(0.0)
+    core.tick(10.0)
+    assert fenced(core.receive(driver.syn(driver.flow_to()), 10.1)[0])
+    core.tick(11.9)
+    assert core.tables.fence.until is not None
+    core.tick(12.0)
+    assert driver.sent_to(core.receive(driver.syn(driver.flow_to()), 12.1))
+
+
+def test_answer_from_before_the_freeze_does_not_lower_the_fence(snapshot):
+    """An answer waited in the socket through the freeze.
+
+    It tells what the revision was long ago; believed, it would let the packets
+    that waited beside it through.
+    """
+    core = driver.make_core(snapshot, hosts=2)
+    core.tick(0.0)
+    core.receive(ControlReceived("host-1", Ack(1, 1)), 10.0)
+    assert core.tables.fence.until is not None
+    behind, current = sorted(core.tables.fence.sequences)[0], 1
+    core.receive(ControlReceived("host-1", Ack(behind, 0)), 10.1)
+    assert core.tables.fence.until is not None
+    core.receive(ControlReceived("host-1", Ack(behind, current)), 10.1)
+    assert core.tables.fence.until is None
--- /dev/null
+++ b/tests/test_systems/test_spread.py
@@ -0,0 +1,218 @@
+"""Spread: an accepted change is in force on every host and never reverts."""
+
+from __future__ import annotations
+
+import itertools
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from citronspring.balancer import Balancer
+from citronspring.control.messages import (
+    Ack,
+    Records,
+    RecordsRequest,
+    SnapshotPart,
+)
+from citronspring.entities import Snapshot
+from citronspring.messages import (
+    ControlReceived,
+    RecordsRead,
+    SendControl,
+    SnapshotRead,
+)
+from citronspring.systems.bulk import cut_into_parts
+from citronspring.systems.spread import pieces_of
+from tests.conftest import make_account, make_host
+from tests.test_systems.cluster import SETTLE, Cluster
+
+
+def settled(**options):
+    cluster = Cluster.of(**options)
+    cluster.run(SETTLE)
+    assert cluster.agreed()
+    return cluster
+
+
+def make_records(count):
+    cluster = Cluster.of(count=1)
+    for targets in range(1, count):
+        cluster.commit(targets)
+    return cluster.records
+
+
+def make_core(hosts=2):
+    members = [make_host(index) for index in range(hosts)]
+    core = Balancer.from_config(members[0], members[1:])
+    core.receive(SnapshotRead(Snapshot(1, (make_account(),))), 0.0)
+    return core
+
+
+def tell(core, message, now=0.0):
+    actions = core.receive(ControlReceived("host-1", message), now)
+    return [item.message for item in actions if isinstance(item, SendControl)]
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_change_read_by_one_host_is_in_force_on_all_within_four_seconds(seed):
+    """An operator changes an account while datagrams are lost and reordered.
+
+    Any host that misses it serves by what was. Records are pushed to random
+    hosts; who misses one hears of the revision on a ping and asks for it.
+    """
+    cluster = settled(seed=seed, loss=0.1, duplication=0.1, longest=0.4)
+    for targets in (9, 5, 40, 3):
+        cluster.commit(targets)
+        cluster.read_now(f"host-{targets % 9}")
+        cluster.run(0.2)
+    assert cluster.run_until(cluster.agreed, 5.0) <= 4.0
+
+
+def test_only_readers_call_the_platform():
+    """The platform's rates grow more slowly than the fleet.
+
+    A host that joins or lags takes what it needs from a peer.
+    """
+    cluster = settled(count=18)
+    cluster.run(30.0)
+    late = {name for at, name in cluster.reads if at > SETTLE}
+    assert len(late) == 6
+    for zone in {host.zone for host in cluster.hosts}:
+        assert sum(cluster.network.zones[name] == zone for name in late) == 2
+
+
+def test_new_host_copies_from_a_peer_while_the_platform_is_down():
+    """The platform is down for an hour and a host is replaced meanwhile.
+
+    If only the platform had the configuration, the new host would serve nobody.
+    It copies the whole from a peer, part by part, and lost parts again.
+    """
+    cluster = settled(loss=0.1)
+    cluster.commit(300)
+    cluster.read_now("host-0")
+    cluster.run(4.0)
+    cluster.platform_up = False
+    cluster.network.kill_host("host-7")
+    cluster.run(5.0)
+    cluster.start("host-7", 99)
+    assert cluster.run_until(cluster.agreed, 6.0) <= 5.0
+
+
+def test_gap_older_than_what_peers_keep_is_filled_by_a_copy():
+    """A host was cut off for longer than records are kept.
+
+    Its peer can't send what follows its revision; sending later records would
+    make it skip some. It gets the whole configuration instead.
+    """
+    cluster = settled(count=3)
+    cluster.network.freeze("host-2")
+    cluster.network.waiting["host-2"] = []
+    for _ in range(300):
+        cluster.commit()
+    cluster.read_now("host-0")
+    cluster.run(8.0)
+    cluster.platform_up = False
+    cluster.network.waiting["host-2"] = []
+    cluster.network.wake("host-2")
+    cluster.run_until(cluster.agreed, 5.0)
+
+
+@settings(max_examples=60, derandomize=True, deadline=None)
+@given(st.integers(0, 10_000), st.booleans())
+def test_records_in_any_order_end_alike_and_never_fall(seed, cut):
+    """Records arrive in any order, twice, in pieces, some of them late.
+
+    Applied as they come, an older record would undo a newer one. Each waits
+    until the one before it is in force.
+    """
+    rng = random.Random(seed)
+    records = make_records(8)
+    messages = [piece for record in records[1:] for piece in pieces_of(record)]
+    if cut:
+        whole = Records(tuple(records[1:]))
+        messages.append(whole)
+    order = messages + rng.sample(messages, len(messages) // 2)
+    rng.shuffle(order)
+    core = make_core()
+    highest = 1
+    for message in order:
+        tell(core, message)
+        assert core.tables.revision >= highest
+        highest = core.tables.revision
+    assert core.tables.revision == 8
+    assert core.tables.accounts["bundelpers"].account == records[-1].account
+
+
+def test_record_beyond_a_gap_waits_and_the_gap_is_asked_for():
+    records = make_records(4)
+    core = make_core()
+    assert RecordsRequest(1) in tell(core, Records((records[3],)))
+    assert core.tables.revision == 1
+    tell(core, Records(tuple(records[1:3])))
+    assert core.tables.revision == 4
+
+
+def test_old_peer_and_stale_platform_revert_nothing():
+    """A peer that was frozen and a stale platform offer an old configuration.
+
+    Taken, an accepted change would revert at this host.
+    """
+    records = make_records(5)
+    core = make_core()
+    core.receive(RecordsRead(tuple(records[1:])), 0.0)
+    before = core.tables.accounts["bundelpers"].account
+    core.receive(SnapshotRead(Snapshot(3, (make_account(targets=1),))), 0.0)
+    core.receive(RecordsRead(tuple(records[1:3])), 0.0)
+    tell(core, Records(tuple(records[:2])))
+    tell(core, SnapshotPart(2, 0, 1, (make_account(targets=2),)))
+    tell(core, Ack(1, 2))
+    assert core.tables.revision == 5
+    assert core.tables.accounts["bundelpers"].account == before
+
+
+def test_copy_never_mixes_two_revisions():
+    """Parts of two revisions arrive mixed: the peer moved on during the copy.
+
+    Put together they would be a configuration that nobody accepted. The newer
+    one starts the copy over; parts of the older no longer count.
+    """
+    accounts = [make_account(f"a{index}", 15, f"192.0.2.{index}") for index in range(4)]
+    old = cut_into_parts(accounts)
+    new = cut_into_parts([make_account(account.account_id, 14) for account in accounts])
+    assert len(old) == len(new) == 4
+    core = make_core()
+    for part in (0, 1):
+        tell(core, SnapshotPart(5, part, 4, old[part]))
+    for part in (3, 2):
+        tell(core, SnapshotPart(6, part, 4, new[part]))
+        tell(core, SnapshotPart(5, part, 4, old[part]))
+    assert core.tables.revision == 1
+    for part in (0, 1):
+        tell(core, SnapshotPart(6, part, 4, new[part]))
+    assert core.tables.revision == 6
+    assert all(len(row.targets) == 14 for row in core.tables.accounts.values())
+
+
+def test_peers_revision_on_a_heartbeat_is_noted():
+    """A host that is behind must not pass a reset on as certain.
+
+    It can only know that it is behind from what its peers say.
+    """
+    core = make_core()
+    tell(core, Ack(1, 7))
+    assert core.tables.hosts["host-1"].revision == 7
+    tell(core, Ack(2, 3))
+    assert core.tables.hosts["host-1"].revision == 7
+
+
+def test_large_account_goes_in_pieces_that_fit():
+    record = make_records(1)[0]
+    account = make_account(targets=100)
+    pieces = pieces_of(type(record)(2, "c", account.account_id, account))
+    targets = itertools.chain.from_iterable(
+        piece.records[0].account.targets for piece in pieces
+    )
+    assert tuple(targets) == account.targets
+    assert {piece.parts for piece in pieces} == {6}
