--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks with regression bounds; ``python -m benchmarks`` runs them all."""
--- /dev/null
+++ b/benchmarks/__main__.py
@@ -0,0 +1,80 @@
+"""Runs the benchmarks: prints a table, writes JSON, fails if a bound is not held."""
+
+from __future__ import annotations
+
+import importlib
+import json
+import pkgutil
+import sys
+from pathlib import Path
+
+from absl import app, flags
+
+import benchmarks
+from benchmarks.result import Result
+
+FLAGS = flags.FLAGS
+JSON_PATH = flags.DEFINE_string("json", None, "File to write the figures to.")
+ONLY = flags.DEFINE_multi_string("only", [], "Module to run; all unless given.")
+
+COLUMNS = ("name", "value", "unit", "baseline", "bound", "held", "seed")
+
+
+def find_modules() -> list[str]:
+    """Return the names of the modules that have a ``run``."""
+    names = [module.name for module in pkgutil.iter_modules(benchmarks.__path__)]
+    return [name for name in names if name != "__main__" and runs(name)]
+
+
+def runs(name: str) -> bool:
+    """Whether a module measures something."""
+    return hasattr(importlib.import_module(f"benchmarks.{name}"), "run")
+
+
+def run_module(name: str) -> list[dict[str, object]]:
+    """Run one module; return its rows as plain values."""
+    module = importlib.import_module(f"benchmarks.{name}")
+    rows = module.run()
+    return [row.to_dict() if isinstance(row, Result) else row for row in rows]
+
+
+def format_table(rows: list[dict[str, object]]) -> str:
+    """Return the rows as aligned text."""
+    cells = [COLUMNS]
+    cells += [tuple(format_cell(row.get(name)) for name in COLUMNS) for row in rows]
+    widths = [max(len(line[index]) for line in cells) for index in range(len(COLUMNS))]
+    lines = [
+        "  ".join(cell.ljust(width) for cell, width in zip(line, widths, strict=True))
+        for line in cells
+    ]
+    return "\n".join(line.rstrip() for line in lines)
+
+
+def format_cell(value: object) -> str:
+    """Return one value as short text."""
+    if value is None:
+        return "-"
+    if isinstance(value, bool):
+        return "yes" if value else "NO"
+    if isinstance(value, float):
+        return f"{value:.4g}" if abs(value) < 10_000 else f"{value:.0f}"
+    return str(value)
+
+
+def main(argv: list[str]) -> int:
+    """Run what was asked for; return 1 if a bound is not held."""
+    del argv
+    rows: list[dict[str, object]] = []
+    for name in ONLY.value or find_modules():
+        rows += run_module(name)
+    print(format_table(rows))
+    if JSON_PATH.value:
+        Path(JSON_PATH.value).write_text(json.dumps(rows, indent=1) + "\n")
+    missed = [row for row in rows if not row["held"]]
+    if missed:
+        print(f"{len(missed)} bounds not held", file=sys.stderr)
+    return 1 if missed else 0
+
+
+if __name__ == "__main__":
+    app.run(main)
--- /dev/null
+++ b/benchmarks/churn.py
@@ -0,0 +1,268 @@
+"""Broken flows while hosts and targets come and go and views differ."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from benchmarks.baselines import HashOnly, TableOnly
+from benchmarks.pool import run_jobs
+from benchmarks.result import Result
+from benchmarks.world import SERVICE_IP, SERVICE_PORT, World
+from citronspring.balancer import Balancer
+from citronspring.rendezvous import flow_key
+from citronspring.standins.service import Outcome, Request, RequestKind
+
+if TYPE_CHECKING:
+    from citronspring.entities import FlowKey
+
+COMMAND = "python -m benchmarks --only churn"
+
+SEEDS = range(10)
+HOSTS = 6
+TARGETS = 7
+
+#: Virtual seconds in which requests start and things change.
+DURATION = 120.0
+#: Virtual seconds after that, in which every request ends.
+SETTLING = 120.0
+CHANGE_INTERVAL = 6.0
+REQUESTS_PER_SECOND = 58.5
+#: Bytes a second of a body, two segments.
+BODY_RATE = 1024.0
+
+#: Shares of requests, and the mean seconds that they last.
+LENGTHS = ((0.70, 1.5), (0.25, 10.0), (0.05, 45.0))
+LONGEST = 90.0
+
+#: Seconds after which a leaving target must get no new work.
+LEAVING_GRACE = 4.0
+
+FEWEST_HOSTS, MOST_HOSTS = 4, 9
+FEWEST_TARGETS, MOST_TARGETS = 4, 10
+
+
+class Variant(Enum):
+    """The core that is measured."""
+
+    BALANCER = "balancer"
+    HASH_ONLY = "hash-only"
+    TABLE_ONLY = "table-only"
+
+
+MAKERS = {
+    Variant.BALANCER: Balancer.from_config,
+    Variant.HASH_ONLY: HashOnly.from_config,
+    Variant.TABLE_ONLY: TableOnly.from_config,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class ChurnFigures:
+    """What one run gave."""
+
+    requests: int
+    outcomes: Counter[Outcome | None]
+    #: Corrections that ran more than once.
+    run_twice: int
+    late_work: int
+    counters: Counter[str]
+    changes: Counter[str] = field(default_factory=Counter)
+
+    @property
+    def broken(self) -> int:
+        """Requests that broke or never ended."""
+        return self.outcomes[Outcome.BROKEN] + self.outcomes[None]
+
+
+@dataclass(slots=True)
+class ChurnRun:
+    """One world with its requests and changes."""
+
+    world: World
+    rng: random.Random
+    duration: float = DURATION
+    requests: int = 0
+    changes: Counter[str] = field(default_factory=Counter)
+
+    @classmethod
+    def from_seed(
+        cls, variant: Variant, seed: int, duration: float = DURATION
+    ) -> ChurnRun:
+        """Make a run of a variant."""
+        world = World.from_sizes(MAKERS[variant], seed, HOSTS, TARGETS)
+        return cls(world, random.Random(f"requests {seed}"), duration)
+
+    def run(self) -> ChurnFigures:
+        """Let the time pass and return the figures."""
+        network = self.world.network
+        network.after(0.0, self.arrive)
+        network.after(CHANGE_INTERVAL, self.change)
+        network.run_until(self.duration + SETTLING)
+        return self.collect()
+
+    def arrive(self) -> None:
+        """Start a request, and arrange the next."""
+        network = self.world.network
+        flow = self.next_flow()
+        network.call(flow, self.next_request())
+        gap = self.rng.expovariate(REQUESTS_PER_SECOND)
+        if network.now + gap < self.duration:
+            network.after(gap, self.arrive)
+
+    def next_flow(self) -> FlowKey:
+        """Return a five-tuple that no earlier request had."""
+        self.requests += 1
+        caller = f"198.51.100.{self.requests // 50_000 + 1}"
+        port = 1024 + self.requests % 50_000
+        return flow_key(6, SERVICE_IP, SERVICE_PORT, caller, port)
+
+    def next_request(self) -> Request:
+        """Return a request of a random kind and length."""
+        kind = self.rng.choice(list(RequestKind))
+        shares = [share for share, _ in LENGTHS]
+        [(_, mean)] = self.rng.choices(LENGTHS, shares)
+        seconds = min(LONGEST, self.rng.expovariate(1.0 / mean))
+        size = int(seconds * BODY_RATE)
+        return Request(f"request-{self.requests}", kind, size, BODY_RATE)
+
+    def change(self) -> None:
+        """Make one change that the sizes allow, and arrange the next."""
+        world = self.world
+        possible = []
+        if len(world.live) > FEWEST_HOSTS:
+            possible += [world.kill_host, world.leave_host]
+        if len(world.live) < MOST_HOSTS:
+            possible.append(world.join_host)
+        if len(world.active) > FEWEST_TARGETS:
+            possible.append(world.leave_target)
+        if len(world.active) < MOST_TARGETS:
+            possible.append(world.add_target)
+        chosen = world.rng.choice(possible)
+        self.changes[chosen.__name__] += 1
+        chosen()
+        if world.network.now + CHANGE_INTERVAL < self.duration:
+            world.network.after(CHANGE_INTERVAL, self.change)
+
+    def collect(self) -> ChurnFigures:
+        """Return the figures of a run that has ended."""
+        world = self.world
+        sessions = world.network.callers.sessions.values()
+        corrections = [
+            session.request.request_id
+            for session in sessions
+            if session.request.kind is RequestKind.CORRECTION
+        ]
+        counters: Counter[str] = Counter()
+        for core in world.cores:
+            counters.update(core.tables.counters)
+        return ChurnFigures(
+            self.requests,
+            Counter(session.outcome for session in sessions),
+            sum(world.ran[request_id] > 1 for request_id in corrections),
+            self.late_work(),
+            counters,
+            self.changes,
+        )
+
+    def late_work(self) -> int:
+        """Return how many openings leaving targets took after the grace."""
+        targets = self.world.network.targets
+        return sum(
+            accepted > left + LEAVING_GRACE
+            for target_id, left in self.world.left_at.items()
+            for accepted in targets[target_id].accepted_at
+        )
+
+
+def measure(job: tuple[Variant, int]) -> ChurnFigures:
+    """Return the figures of one variant and seed."""
+    return ChurnRun.from_seed(*job).run()
+
+
+def run() -> list[Result]:
+    """Measure every variant at every seed."""
+    jobs = [(variant, seed) for variant in Variant for seed in SEEDS]
+    figures = dict(zip(jobs, run_jobs(measure, jobs), strict=True))
+    return [
+        *broken_rows(figures),
+        *promise_rows(figures),
+        *cost_rows(figures),
+    ]
+
+
+Figures = dict[tuple[Variant, int], ChurnFigures]
+
+
+def broken_rows(figures: Figures) -> list[Result]:
+    """Return the broken flows of each seed, and of the baselines."""
+    rows = [
+        Result.at_most(
+            "churn.broken_flows",
+            figures[Variant.BALANCER, seed].broken,
+            "flows",
+            0,
+            baseline=figures[Variant.HASH_ONLY, seed].broken,
+            seed=seed,
+            command=COMMAND,
+        )
+        for seed in SEEDS
+    ]
+    for seed in SEEDS:
+        broken = figures[Variant.TABLE_ONLY, seed].broken
+        rows.append(
+            Result(
+                "churn.broken_flows_table_only",
+                broken,
+                "flows",
+                seed=seed,
+                command=COMMAND,
+            )
+        )
+    return rows
+
+
+def promise_rows(figures: Figures) -> list[Result]:
+    """Return what must not happen, summed over the seeds."""
+    measures = {
+        "churn.corrections_run_twice": lambda item: item.run_twice,
+        "churn.wrong_answers": lambda item: item.outcomes[Outcome.WRONG],
+        "churn.late_work_on_leaving_target": lambda item: item.late_work,
+    }
+    return [
+        Result.at_most(
+            name,
+            sum(of(figures[Variant.BALANCER, seed]) for seed in SEEDS),
+            "count",
+            0,
+            baseline=sum(of(figures[Variant.HASH_ONLY, seed]) for seed in SEEDS),
+            command=COMMAND,
+        )
+        for name, of in measures.items()
+    ]
+
+
+def cost_rows(figures: Figures) -> list[Result]:
+    """Return what keeping the flows cost, over all seeds."""
+    ours = [figures[Variant.BALANCER, seed] for seed in SEEDS]
+    requests = sum(item.requests for item in ours)
+    totals: Counter[str] = Counter()
+    for item in ours:
+        totals.update(item.counters)
+    refused = sum(item.outcomes[Outcome.REFUSED] for item in ours)
+    walks = max(1, totals["walks"])
+    return [
+        Result("churn.requests", requests, "requests", command=COMMAND),
+        Result("churn.refused", refused, "requests", command=COMMAND),
+        Result("churn.walks", totals["walks"], "walks", command=COMMAND),
+        Result(
+            "churn.probes_per_walk",
+            round(totals["probes"] / walks, 3),
+            "probes",
+            command=COMMAND,
+        ),
+        Result("churn.syn_retries", totals["retried"], "retries", command=COMMAND),
+    ]
