Refuse what operators write by key, value and remedy, and plain data only

Cause: nested lists 5,000 levels deep and a whole number of 5,000 digits came out as RecursionError and ValueError instead of a refusal; a NaN in a parameter that no body uses would be stored and never read back.

--- a/citronspring/configuration/changes.py
+++ b/citronspring/configuration/changes.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from citronspring.configuration.plain import check_plain
 from citronspring.errors import ConfigurationError
 
 #: A revision the client knew, a dash, and a token of the client's own.
@@ -123,16 +124,16 @@
     check_author(change.author)
     if change.if_revision is not None and type(change.if_revision) is not int:
         raise ConfigurationError("if_revision is no whole number", "give a revision")
+    if not isinstance(change, PutTemplate):
+        check_text("account id", change.account_id)
     match change:
         case PutTemplate(template=template):
             check_mapping("template", template)
         case PutAccount(template=template, parameters=parameters):
             check_text("template name", template)
-            check_mapping("parameters", parameters)
+            check_mapping(f"account {change.account_id}: parameters", parameters)
         case DrainTarget() | UndrainTarget() | PurgeTarget():
             check_text("target id", change.target_id)
-    if not isinstance(change, PutTemplate):
-        check_text("account id", change.account_id)
 
 
 def check_text(what: str, value: object) -> None:
@@ -142,9 +143,10 @@
 
 
 def check_mapping(what: str, value: object) -> None:
-    """Raise ConfigurationError when a value does not map keys to values."""
+    """Raise ConfigurationError when a value is no table of plain data."""
     if not isinstance(value, Mapping):
         raise ConfigurationError(f"{what} has no keys", "write it as a table")
+    check_plain(what, dict(value))
 
 
 def check_author(author: str) -> None:
--- a/citronspring/configuration/explain.py
+++ b/citronspring/configuration/explain.py
@@ -76,8 +76,16 @@
 
 def shown(value: object) -> str:
     """Return a short printable form of a value."""
-    text = value if isinstance(value, str) else repr(value)
+    text = value if isinstance(value, str) else printed(value)
     printable = text.encode("unicode_escape").decode("ascii")
     if len(printable) <= SHOWN_LENGTH:
         return printable
     return f"{printable[:SHOWN_LENGTH]}..."
+
+
+def printed(value: object) -> str:
+    """Return a value as Python writes it, or its type when it is too large."""
+    try:
+        return repr(value)
+    except (ValueError, RecursionError):
+        return f"a large {type(value).__name__}"
--- a/citronspring/configuration/models.py
+++ b/citronspring/configuration/models.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from ipaddress import IPv4Address, IPv6Address, ip_address
 from typing import Annotated, Any, Literal, Self
 
@@ -218,14 +217,9 @@
         """Validate a template; raises ConfigurationError naming key and remedy."""
         try:
             template = cls.model_validate(raw)
-            size = len(json.dumps(template.model_dump(), allow_nan=False))
         except ValidationError as error:
             raise explained(error, "template", cls) from error
-        except (ValueError, RecursionError) as error:
-            raise ConfigurationError(
-                f"template cannot be written as JSON: {error}",
-                "use finite numbers and few levels",
-            ) from error
+        size = len(template.model_dump_json())
         if size > TEMPLATE_BYTES:
             raise ConfigurationError(
                 f"template has {size} bytes", f"keep to {TEMPLATE_BYTES}"
--- a/citronspring/configuration/rendering.py
+++ b/citronspring/configuration/rendering.py
@@ -51,8 +51,6 @@
 
     Defaults are left out: they follow the template when it changes.
     """
-    if not all(isinstance(name, str) for name in parameters):
-        raise ConfigurationError(f"{what}: a parameter's name is no text", "quote it")
     unknown = sorted(set(parameters) - set(template.parameters))
     if unknown:
         raise ConfigurationError(
@@ -70,7 +68,7 @@
     parameter = template.parameters[name]
     try:
         return parameter.check(value)
-    except (ValueError, RecursionError) as error:
+    except ValueError as error:
         raise ConfigurationError(
             f"{what}: parameter {name}: {error}", f"correct {name}"
         ) from error
