--- a/citronspring/experiments/run.py
+++ b/citronspring/experiments/run.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from citronspring.balancer import Balancer
+from citronspring.configuration.shards import HEAD_KEY
 from citronspring.configuration.store import ConfigurationStore
 from citronspring.entities import Endpoint, Host
 from citronspring.errors import CitronspringError
@@ -83,8 +84,8 @@
     revisions: dict[str, int] = field(default_factory=dict)
     #: Connections each target had accepted when last looked at.
     accepted: dict[str, int] = field(default_factory=dict)
-    #: Target parameters of each client account as last committed.
-    parameters: dict[str, list[dict[str, object]]] = field(default_factory=dict)
+    #: Version of the head that each reader's watch last answered with.
+    watched: dict[str, int] = field(default_factory=dict)
     operators: int = 0
     #: Targets that an operator drained or is draining.
     drained: set[str] = field(default_factory=set)
@@ -139,10 +140,11 @@
         host = self.described[host_id]
         peers = [peer for peer in self.described.values() if peer is not host]
         boot = 1 + int(self.network.now * BOOT_STEP)
-        core = Balancer.from_config(host, peers, boot_time=boot)
+        core = Balancer.from_config(host, peers, incarnation=boot)
         self.network.stopped.discard(host_id)
         self.history.add(HostStarted(self.network.now, host_id))
         self.revisions[host_id] = 0
+        self.watched.pop(host_id, None)
         self.network.add_host(core)
         self.network.sprayed.remove(host_id)
         self.network.after(FABRIC_LAG, lambda: self.spray_to(host_id))
@@ -260,6 +262,7 @@
                 self.history.add(entry)
             if host_id in self.network.stopped:
                 self.end_host(host_id)
+            self.watch_head(host_id, core)
         for target_id, stack in self.network.targets.items():
             for at in stack.accepted_at[self.accepted[target_id] :]:
                 self.history.add(WorkAccepted(at, target_id))
@@ -267,6 +270,16 @@
         self.workload.note_ends()
         self.network.after(WATCH_INTERVAL, self.watch)
 
+    def watch_head(self, host_id: str, core: Balancer) -> None:
+        """Answer a reader's watch once the head of the configuration changed."""
+        version = self.platform.current_version(HEAD_KEY)
+        if not core.tables.spread.is_reader or version == self.watched.get(host_id):
+            return
+        reachable = self.network.connected(host_id, PLATFORM)
+        if reachable and not self.platform.switches.outage:
+            self.watched[host_id] = version
+            self.read_platform(host_id, core.tables.revision)
+
     def run(self) -> History:
         """Run the scenario to its end; return the history."""
         self.start()
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -49,12 +49,12 @@
 def test_opening_time_runs_from_the_syn_to_the_confirmed_answer(snapshot):
     core = make_measured(snapshot)
     flow = flow_to()
-    core.receive(syn(flow), 10.0)
+    core.receive(syn(flow), 1.0)
     target = core.tables.flows.rows[flow].target.target.target_id
-    core.receive(syn_ack(flow, target), 10.25)
+    core.receive(syn_ack(flow, target), 1.25)
     assert core.opening_time.count == 0
-    core.receive(from_caller(flow), 10.5)
-    core.receive(from_target(flow, target), 11.0)
+    core.receive(from_caller(flow), 1.5)
+    core.receive(from_target(flow, target), 2.0)
     assert core.opening_time.count == 1
     assert abs(core.opening_time.quantiles()[0.5] - 0.5) < 0.01
 
