--- /dev/null
+++ b/citronspring/systems/answers.py
@@ -0,0 +1,212 @@
+"""Answers of targets: to the caller, or to a search, or nowhere."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from citronspring.messages import (
+    FIN,
+    RST,
+    SYN,
+    Drop,
+    DropReason,
+    SendToCaller,
+)
+from citronspring.systems.binding import (
+    FIN_FROM_TARGET,
+    TCP,
+    bind_found,
+    close,
+    doubt,
+    idle_deadline,
+    note_fin,
+    promote,
+)
+from citronspring.systems.openings import datagram_refused, target_reset_opening
+from citronspring.systems.second_chance import (
+    CONFIRM_WINDOW,
+    SEQUENCE_MASK,
+    answer_during_walk,
+    near,
+)
+from citronspring.tables import FlowState
+
+if TYPE_CHECKING:
+    from citronspring.messages import Action, Packet
+    from citronspring.tables import FlowRow, Tables, TargetRow
+
+#: States of a TCP flow whose target is known by hearsay.
+HEARSAY_STATES = (FlowState.BACKUP, FlowState.UNPROVEN, FlowState.DOUBTED)
+
+
+def take_answer(
+    tables: Tables,
+    row: FlowRow | None,
+    source: TargetRow,
+    packet: Packet,
+    now: float,
+    actions: list[Action],
+) -> None:
+    """Handle a target's answer."""
+    if row is None:
+        answer_of_unknown_flow(tables, source, packet, now, actions)
+    elif row.target is not source:
+        answer_of_other_target(tables, row, source, packet, now, actions)
+    elif row.state == FlowState.ESTABLISHED:
+        answer_established(tables, row, packet, now, actions)
+    elif row.state == FlowState.OPENING:
+        answer_opening(tables, row, packet, now, actions)
+    elif row.state == FlowState.ANSWERED:
+        answer_answered(tables, row, packet, now, actions)
+    elif row.state == FlowState.CLOSING:
+        actions.append(SendToCaller(packet))
+    else:
+        answer_by_hearsay(tables, row, packet, now, actions)
+
+
+def answer_established(
+    tables: Tables, row: FlowRow, packet: Packet, now: float, actions: list[Action]
+) -> None:
+    """Pass on an answer of an established flow, and note its FIN or RST."""
+    row.deadline = idle_deadline(packet.flow, row.target.account, now)
+    if packet.flags & RST:
+        close(tables, packet.flow, row, now)
+    elif packet.flags & FIN:
+        note_fin(tables, packet.flow, row, FIN_FROM_TARGET, now)
+    actions.append(SendToCaller(packet))
+
+
+def answer_opening(
+    tables: Tables, row: FlowRow, packet: Packet, now: float, actions: list[Action]
+) -> None:
+    """Handle the first answer to an opening."""
+    flow = packet.flow
+    opening = tables.openings.get(flow)
+    if opening is None:
+        row.state = FlowState.ESTABLISHED
+        answer_established(tables, row, packet, now, actions)
+    elif packet.unreachable:
+        datagram_refused(tables, row, packet, now, actions)
+    elif packet.flags & RST:
+        if packet.ack == (opening.packet.seq + 1) & SEQUENCE_MASK:
+            target_reset_opening(tables, flow, row, now, actions)
+        else:
+            # Not of this SYN but of a packet that belongs to another target.
+            actions.append(Drop(DropReason.SWALLOWED_RESET))
+    elif flow[0] != TCP:
+        row.state = FlowState.ESTABLISHED
+        row.target.failures = 0
+        del tables.openings[flow]
+        actions.append(SendToCaller(packet))
+    elif packet.flags & SYN:
+        row.state = FlowState.ANSWERED
+        row.target.failures = 0
+        opening.answer_seq = packet.seq
+        actions.append(SendToCaller(packet))
+    else:
+        # An acknowledgement of numbers from an earlier flow with this tuple: the
+        # caller's stack resets it, which frees the tuple on the target.
+        actions.append(SendToCaller(packet))
+
+
+def answer_answered(
+    tables: Tables, row: FlowRow, packet: Packet, now: float, actions: list[Action]
+) -> None:
+    """Handle a further answer before the caller has confirmed the first.
+
+    A reset whose number is not this target's own answers a packet that the caller
+    meant for another target, which a host with another view gave the SYN to. The
+    caller would take it for the end of that connection.
+    """
+    opening = tables.openings.get(packet.flow)
+    foreign = opening is not None and not near(
+        packet.seq, (opening.answer_seq or 0) + 1, CONFIRM_WINDOW
+    )
+    if packet.flags & RST and foreign:
+        actions.append(Drop(DropReason.SWALLOWED_RESET))
+        return
+    if packet.flags & RST:
+        close(tables, packet.flow, row, now)
+    actions.append(SendToCaller(packet))
+
+
+def answer_by_hearsay(
+    tables: Tables, row: FlowRow, packet: Packet, now: float, actions: list[Action]
+) -> None:
+    """Handle an answer of the target that a flow is on by another's word.
+
+    Its reset may only mean that the word was wrong. It is swallowed; the caller's
+    next packet then searches every target, which settles what is true.
+    """
+    if packet.flags & RST:
+        doubt(row)
+        actions.append(Drop(DropReason.SWALLOWED_RESET))
+        return
+    if row.state == FlowState.BACKUP:
+        promote(tables, packet.flow, row)
+    if row.state == FlowState.UNPROVEN and proves(packet):
+        row.state = FlowState.ESTABLISHED
+    answer_established(tables, row, packet, now, actions)
+
+
+def proves(packet: Packet) -> bool:
+    """Whether only the holder of a flow sends such an answer.
+
+    A target in TIME-WAIT of an earlier flow of the tuple sends acknowledgements, and
+    one on which the SYN was placed a second time a SYN-ACK; neither sends data.
+    """
+    return packet.payload_length > 0
+
+
+def answer_of_other_target(
+    tables: Tables,
+    row: FlowRow,
+    source: TargetRow,
+    packet: Packet,
+    now: float,
+    actions: list[Action],
+) -> None:
+    """Drop a late answer; but data belies a binding that is only hearsay."""
+    belied = packet.flow[0] == TCP and row.state in HEARSAY_STATES
+    if not belied or not proves(packet):
+        actions.append(Drop(DropReason.STALE_ANSWER))
+        return
+    bind_found(tables, packet.flow, source, now)
+    actions.append(SendToCaller(packet))
+
+
+def answer_of_unknown_flow(
+    tables: Tables,
+    source: TargetRow,
+    packet: Packet,
+    now: float,
+    actions: list[Action],
+) -> None:
+    """Learn from an answer where a flow lives that this owner does not know."""
+    walk = tables.walks.get(packet.flow)
+    if walk is not None:
+        answer_during_walk(tables, walk, source, packet, now, actions)
+    elif packet.flags & RST:
+        # It may answer a walk that ended.
+        actions.append(Drop(DropReason.SWALLOWED_RESET))
+    elif packet.unreachable:
+        actions.append(Drop(DropReason.UNCERTAIN))
+    else:
+        learn_from_answer(tables, source, packet, now)
+        actions.append(SendToCaller(packet))
+
+
+def learn_from_answer(
+    tables: Tables, source: TargetRow, packet: Packet, now: float
+) -> None:
+    """Bind a flow to the target that answers it, if there is room."""
+    if len(tables.flows.rows) >= tables.max_flows:
+        return
+    flow = packet.flow
+    row = bind_found(tables, flow, source, now)
+    if packet.flags & SYN:
+        # An opening that another host placed; the caller may never confirm it.
+        row.deadline = now + source.account.account.limits.opening_timeout
+        tables.flows.schedule(flow, row, now)
+    elif row.state == FlowState.UNPROVEN and proves(packet):
+        row.state = FlowState.ESTABLISHED
--- a/citronspring/systems/binding.py
+++ b/citronspring/systems/binding.py
@@ -13,12 +13,22 @@
 #: Seconds a closed tuple stays pinned (twice a maximum segment lifetime).
 TIME_WAIT = 60.0
 
-#: Seconds a copy of a TCP binding is kept: second chance finds the flow without it.
-BACKUP_LIFETIME = 300.0
+#: Seconds a copy of a TCP binding is kept: second chance finds the flow without it,
+#: and nothing tells the copy's holder that the flow has ended.
+BACKUP_LIFETIME = 30.0
 
 TCP = 6
 
-COUNTED_STATES = (FlowState.OPENING, FlowState.ANSWERED, FlowState.ESTABLISHED)
+FIN_FROM_CALLER = 1
+FIN_FROM_TARGET = 2
+BOTH_FINS = FIN_FROM_CALLER | FIN_FROM_TARGET
+
+COUNTED_STATES = (
+    FlowState.OPENING,
+    FlowState.ANSWERED,
+    FlowState.ESTABLISHED,
+    FlowState.UNPROVEN,
+)
 
 
 def idle_deadline(flow: FlowKey, account: AccountRow, now: float) -> float:
@@ -28,22 +38,56 @@
     return account.tcp_deadline if flow[0] == TCP else account.udp_deadline
 
 
+def copy_deadline(flow: FlowKey, account: AccountRow, now: float) -> float:
+    """Return the deadline of a copied binding that was just used."""
+    deadline = idle_deadline(flow, account, now)
+    if flow[0] == TCP:
+        return min(deadline, now + BACKUP_LIFETIME)
+    return deadline
+
+
 def bind(
     tables: Tables, flow: FlowKey, target: TargetRow, state: FlowState, now: float
 ) -> FlowRow:
     """Bind a flow to a target in a state, replacing any earlier binding."""
     release(tables, flow)
     account = target.account
-    deadline = idle_deadline(flow, account, now)
-    if state is FlowState.BACKUP and flow[0] == TCP:
-        deadline = min(deadline, now + BACKUP_LIFETIME)
+    if state is FlowState.BACKUP:
+        deadline = copy_deadline(flow, account, now)
+    else:
+        deadline = idle_deadline(flow, account, now)
     row = FlowRow(target, int(state), deadline, account.refresh_deadline)
-    tables.flows.add(flow, row)
+    tables.flows.add(flow, row, now)
     if state in COUNTED_STATES:
         count(row, 1)
     return row
 
 
+def bind_found(tables: Tables, flow: FlowKey, target: TargetRow, now: float) -> FlowRow:
+    """Bind a flow to the target that another host, or an answer, says it is on.
+
+    Only the owner counts it, and a TCP flow stays unproven until the target sends
+    data: a wrong binding would let that target's reset through to the caller.
+    """
+    if not owns(tables, flow):
+        return bind(tables, flow, target, FlowState.BACKUP, now)
+    state = FlowState.UNPROVEN if flow[0] == TCP else FlowState.ESTABLISHED
+    return bind(tables, flow, target, state, now)
+
+
+def owns(tables: Tables, flow: FlowKey) -> bool:
+    """Whether this host is the flow's owner, as far as it knows."""
+    return tables.ring.pair(flow)[0] == tables.host_id
+
+
+def promote(tables: Tables, flow: FlowKey, row: FlowRow) -> None:
+    """Make a copied binding this owner's own, once a packet shows the flow lives."""
+    if not owns(tables, flow):
+        return
+    row.state = FlowState.UNPROVEN if flow[0] == TCP else FlowState.ESTABLISHED
+    count(row, 1)
+
+
 def count(row: FlowRow, step: int) -> None:
     """Add to the open flows of a row's target and client account."""
     row.target.flows += step
@@ -79,5 +123,21 @@
         count(row, -1)
     row.state = FlowState.CLOSING
     row.deadline = now + TIME_WAIT
-    tables.flows.schedule(flow, row)
+    tables.flows.schedule(flow, row, now)
     tables.openings.pop(flow, None)
+
+
+def doubt(row: FlowRow) -> None:
+    """Stop believing a binding that was only hearsay."""
+    if row.state in COUNTED_STATES:
+        count(row, -1)
+    row.state = FlowState.DOUBTED
+
+
+def note_fin(
+    tables: Tables, flow: FlowKey, row: FlowRow, side: int, now: float
+) -> None:
+    """Note a FIN; close a flow whose two sides have each sent theirs."""
+    row.fins |= side
+    if row.fins == BOTH_FINS and row.state != FlowState.CLOSING:
+        close(tables, flow, row, now)
--- a/citronspring/systems/expiry.py
+++ b/citronspring/systems/expiry.py
@@ -34,7 +34,7 @@
     if row.deadline <= now:
         forget(tables, flow)
     else:
-        tables.flows.schedule(flow, row)
+        tables.flows.schedule(flow, row, now)
 
 
 def expire_hints(tables: Tables, now: float) -> None:
--- /dev/null
+++ b/citronspring/systems/hints.py
@@ -0,0 +1,84 @@
+"""Hints: leave to forward packets of a long flow without its owner."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from citronspring.messages import (
+    FIN,
+    RST,
+    SYN,
+    Relay,
+    RelayKind,
+    SendToCaller,
+    SendToTarget,
+)
+from citronspring.tables import FlowState, HintRow
+
+if TYPE_CHECKING:
+    from citronspring.messages import Action, Packet, RelayReceived
+    from citronspring.tables import Tables, TargetRow
+
+#: Flags that change a flow's state; only the owner may see such packets last.
+STATE_FLAGS = SYN | FIN | RST
+
+#: Relayed packets of a flow after which the relaying host is given a hint.
+HINT_EVERY = 16
+
+#: Seconds a hint lasts; well below TIME-WAIT, so it never meets a reused tuple.
+HINT_LIFETIME = 5.0
+
+#: Hints held at once.
+MAX_HINTS = 65536
+
+
+def use_hint(
+    tables: Tables,
+    hint: HintRow,
+    packet: Packet,
+    source: TargetRow | None,
+    now: float,
+    actions: list[Action],
+) -> bool:
+    """Forward a packet by a hint if it still holds; return whether it did."""
+    current = tables.targets.get(hint.target.target.target_id)
+    stale = hint.ring_version != tables.ring.version or current is not hint.target
+    if hint.deadline <= now or stale:
+        del tables.hints[packet.flow]
+        return False
+    if packet.flags & STATE_FLAGS:
+        # The flow begins or ends: what follows may be another flow of the tuple.
+        del tables.hints[packet.flow]
+        return False
+    if packet.unreachable:
+        return False
+    if packet.from_caller:
+        actions.append(SendToTarget(hint.target.target.target_id, packet))
+        return True
+    if source is not hint.target:
+        return False
+    actions.append(SendToCaller(packet))
+    return True
+
+
+def offer_hint(tables: Tables, event: RelayReceived, actions: list[Action]) -> None:
+    """Let a host that relays much of a flow forward the rest itself."""
+    row = tables.flows.rows.get(event.flow)
+    if row is None or row.state != FlowState.ESTABLISHED:
+        return
+    row.relays = (row.relays + 1) % HINT_EVERY
+    if row.relays:
+        return
+    target_id = row.target.target.target_id
+    actions.append(Relay(RelayKind.HINT, event.sender, event.flow, target_id=target_id))
+
+
+def take_hint(tables: Tables, event: RelayReceived, now: float) -> None:
+    """Keep a hint, if it comes from the owner this host knows."""
+    target = tables.targets.get(event.target_id or "")
+    owner = tables.ring.pair(event.flow)[0]
+    if target is None or owner != event.sender or len(tables.hints) >= MAX_HINTS:
+        return
+    # Taken out first, so that hints stand in the order in which they run out.
+    tables.hints.pop(event.flow, None)
+    tables.hints[event.flow] = HintRow(target, now + HINT_LIFETIME, tables.ring.version)
--- a/citronspring/systems/openings.py
+++ b/citronspring/systems/openings.py
@@ -11,10 +11,11 @@
     Relay,
     RelayKind,
     ResetTarget,
+    SendToCaller,
     SendToTarget,
 )
-from citronspring.systems.binding import bind, forget
-from citronspring.systems.placement import choose_target
+from citronspring.systems.binding import bind, close, forget
+from citronspring.systems.placement import choose_target, may_take
 from citronspring.tables import FlowState, OpeningRow, TargetRow
 
 if TYPE_CHECKING:
@@ -28,6 +29,10 @@
 #: Seconds a target's refusal of a first datagram is waited for.
 DATAGRAM_ATTEMPT_TIMEOUT = 1.0
 
+#: Targets a datagram flow is offered to; the further down its ranking it goes, the
+#: less likely it is found again once both its copies are lost.
+DATAGRAM_TARGETS = 2
+
 #: Seconds after which a refused caller is told to come back, where the reason
 #: itself does not say when.
 RETRY_AFTER = 2.0
@@ -79,11 +84,30 @@
     actions: list[Action],
 ) -> None:
     """Place a new flow on a target, or refuse it at once."""
+    reopen_flow(tables, None, account, packet, now, actions)
+
+
+def reopen_flow(
+    tables: Tables,
+    likely: TargetRow | None,
+    account: AccountRow,
+    packet: Packet,
+    now: float,
+    actions: list[Action],
+) -> None:
+    """Place a flow whose SYN another host may have placed on the likely target."""
+    earlier = tables.flows.rows.get(packet.flow)
+    if earlier is not None:
+        close(tables, packet.flow, earlier, now)
     refused = admit(tables, account, now)
     if refused is not None:
         actions.append(refuse(tables, packet, *refused))
         return
-    chosen = choose_target(tables, packet.flow, account, [], now)
+    chosen: TargetRow | RefusalReason
+    if likely is not None and may_take(likely, now):
+        chosen = likely
+    else:
+        chosen = choose_target(tables, packet.flow, account, [], now)
     if isinstance(chosen, RefusalReason):
         actions.append(refuse(tables, packet, chosen, now + RETRY_AFTER))
         return
@@ -149,7 +173,22 @@
     opening.tried.append(chosen)
     opening.attempt_deadline = now + ATTEMPT_TIMEOUT
     opening.sent = 1
-    forward_by_second(tables, chosen, opening.packet, actions)
+    send_past_second(tables, chosen, opening.packet, actions)
+
+
+def send_past_second(
+    tables: Tables, target: TargetRow, packet: Packet, actions: list[Action]
+) -> None:
+    """Send a packet straight to its target, and the binding to the second host.
+
+    The attempt before may have failed because the second-ranked host is dead and
+    this host's view lags: every retry through it would be lost as well.
+    """
+    target_id = target.target.target_id
+    actions.append(SendToTarget(target_id, packet))
+    second = tables.ring.pair(packet.flow)[1]
+    if second is not None:
+        actions.append(Relay(RelayKind.BIND, second, packet.flow, target_id=target_id))
 
 
 def give_up(
@@ -179,6 +218,20 @@
     retry_opening(tables, flow, opening, RefusalReason.NO_HEALTHY_TARGET, now, actions)
 
 
+def datagram_refused(
+    tables: Tables, row: FlowRow, packet: Packet, now: float, actions: list[Action]
+) -> None:
+    """A target refused a datagram: try one other if nothing else was sent there."""
+    opening = tables.openings[packet.flow]
+    note_refusal(row.target)
+    if opening.sent > 1 or len(opening.tried) >= DATAGRAM_TARGETS:
+        close(tables, packet.flow, row, now)
+        actions.append(SendToCaller(packet))
+        return
+    reason = RefusalReason.NO_HEALTHY_TARGET
+    retry_opening(tables, packet.flow, opening, reason, now, actions)
+
+
 def expire_openings(tables: Tables, now: float, actions: list[Action]) -> None:
     """Move openings away from targets that do not answer; refuse the overdue."""
     for flow, opening in list(tables.openings.items()):
@@ -193,13 +246,17 @@
 def settle_opening(
     tables: Tables, flow: FlowKey, opening: OpeningRow, now: float
 ) -> None:
-    """Stop watching an opening that was answered, or a datagram that was taken."""
-    if flow[0] == TCP and opening.deadline > now:
-        return
-    row = tables.flows.rows.get(flow)
-    if row is not None and row.state == FlowState.OPENING:
+    """Stop watching an opening that was answered, or a datagram that was taken.
+
+    A caller that never confirms a SYN-ACK has no connection: to keep its row for
+    the idle time would let a flood of forged SYNs fill the account's limit.
+    """
+    if flow[0] != TCP:
+        row = tables.flows.rows[flow]
         row.state = FlowState.ESTABLISHED
-    del tables.openings[flow]
+        del tables.openings[flow]
+    elif opening.deadline <= now:
+        forget(tables, flow)
 
 
 def abandon_attempt(
--- a/citronspring/systems/ownership.py
+++ b/citronspring/systems/ownership.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from citronspring.entities import HostState
-from citronspring.systems.binding import BACKUP_LIFETIME, COUNTED_STATES, count
+from citronspring.systems.binding import BACKUP_LIFETIME, COUNTED_STATES, count, owns
 from citronspring.tables import FlowState
 
 if TYPE_CHECKING:
@@ -32,17 +32,15 @@
 
 
 def resort_flow(tables: Tables, flow: FlowKey, row: FlowRow, now: float) -> None:
-    """Count a flow if this host owns it now, and only then.
+    """Stop counting a flow that another host owns now.
 
     A flow counted by its old and its new owner would show its target as fuller
-    than it is, and new flows would keep away from it.
+    than it is, and new flows would keep away from it. A copy is counted only when
+    a packet shows that the flow lives: nothing told its holder of flows that ended,
+    and all of them at once would look like a full account.
     """
-    mine = tables.ring.pair(flow)[0] == tables.host_id
-    if row.state in COUNTED_STATES and not mine:
+    if row.state in COUNTED_STATES and not owns(tables, flow):
         count(row, -1)
         row.state = FlowState.BACKUP
         row.deadline = min(row.deadline, now + BACKUP_LIFETIME)
         tables.openings.pop(flow, None)
-    elif row.state == FlowState.BACKUP and mine:
-        row.state = FlowState.ESTABLISHED
-        count(row, 1)
--- a/citronspring/systems/placement.py
+++ b/citronspring/systems/placement.py
@@ -57,6 +57,12 @@
     return row.ejected_until <= now and load_of(row) < 1.0
 
 
+def may_take(row: TargetRow, now: float) -> bool:
+    """Whether configuration, health and limits let the target take a new flow."""
+    configured = not row.target.leaving and row.placeable_from <= now
+    return configured and is_eligible(row, now)
+
+
 def choose_target(
     tables: Tables,
     flow: FlowKey,
--- /dev/null
+++ b/citronspring/systems/relays.py
@@ -0,0 +1,143 @@
+"""What hosts tell each other of single flows: proposals, questions, bindings."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from citronspring.messages import (
+    SYN,
+    Drop,
+    DropReason,
+    Relay,
+    RelayKind,
+    SendToTarget,
+)
+from citronspring.systems.binding import (
+    COUNTED_STATES,
+    TCP,
+    bind,
+    bind_found,
+    copy_deadline,
+    owns,
+)
+from citronspring.tables import FlowState
+
+if TYPE_CHECKING:
+    from citronspring.entities import FlowKey
+    from citronspring.messages import Action, Packet, RelayReceived
+    from citronspring.tables import FlowRow, OpeningRow, Tables, TargetRow
+
+
+def confirm_proposal(
+    tables: Tables, event: RelayReceived, now: float, actions: list[Action]
+) -> None:
+    """As second-ranked host, keep a copy of the owner's binding and forward."""
+    assert event.packet is not None
+    proposed = tables.targets.get(event.target_id or "")
+    row = known(tables, event.flow)
+    if row is not None and row.target is not proposed and prevails(row, event.packet):
+        actions.append(SendToTarget(row.target.target.target_id, event.packet))
+        actions.append(bind_message(event, row.target))
+        return
+    if proposed is None:
+        actions.append(Drop(DropReason.UNCERTAIN))
+        return
+    if row is None or row.target is not proposed:
+        bind(tables, event.flow, proposed, FlowState.BACKUP, now)
+    elif row.state == FlowState.BACKUP:
+        row.deadline = copy_deadline(event.flow, proposed.account, now)
+    actions.append(SendToTarget(proposed.target.target_id, event.packet))
+
+
+def prevails(row: FlowRow, packet: Packet) -> bool:
+    """Whether this host's binding goes before another one that is proposed.
+
+    It does if this host counts the flow as its own: it was the owner until a moment
+    ago, and the flow lives there. A mere copy of a TCP binding may be of an earlier
+    flow of the tuple, whose target may be leaving by now; nothing else remembers a
+    datagram flow, so that its copy prevails.
+    """
+    if packet.flags & SYN and row.target.target.leaving:
+        return False
+    return row.state in COUNTED_STATES or packet.flow[0] != TCP
+
+
+def bind_message(event: RelayReceived, target: TargetRow) -> Relay:
+    """Tell the sender of a relay which target the flow is on."""
+    target_id = target.target.target_id
+    return Relay(RelayKind.BIND, event.sender, event.flow, target_id=target_id)
+
+
+def answer_question(
+    tables: Tables, event: RelayReceived, actions: list[Action]
+) -> None:
+    """Forward a packet the owner asks about, or say the flow is not known here."""
+    assert event.packet is not None
+    row = known(tables, event.flow)
+    if row is None:
+        actions.append(Relay(RelayKind.UNKNOWN, event.sender, event.flow))
+        return
+    actions.append(SendToTarget(row.target.target.target_id, event.packet))
+    actions.append(bind_message(event, row.target))
+
+
+def known(tables: Tables, flow: FlowKey) -> FlowRow | None:
+    """Return the row of a flow that is neither closed nor in doubt."""
+    row = tables.flows.rows.get(flow)
+    if row is None or row.state in (FlowState.CLOSING, FlowState.DOUBTED):
+        return None
+    return row
+
+
+def take_binding(
+    tables: Tables, event: RelayReceived, now: float, actions: list[Action]
+) -> None:
+    """Take over a binding that another host knew.
+
+    Only where this host has nothing better: an answer to a question may arrive
+    after a walk has found the flow elsewhere.
+    """
+    target = tables.targets.get(event.target_id or "")
+    if target is None:
+        return
+    flow = event.flow
+    opening = tables.openings.get(flow)
+    if flow in tables.walks:
+        end_walk_by_binding(tables, flow, target, now, actions)
+    elif opening is not None and opening.answer_seq is None:
+        move_opening(tables, flow, opening, target, now)
+    elif not owns(tables, flow):
+        take_copy(tables, flow, target, now)
+
+
+def end_walk_by_binding(
+    tables: Tables,
+    flow: FlowKey,
+    target: TargetRow,
+    now: float,
+    actions: list[Action],
+) -> None:
+    """Let the packets go that were held; the first one the other host has sent."""
+    walk = tables.walks.pop(flow)
+    bind_found(tables, flow, target, now)
+    for packet in walk.packets[1:]:
+        actions.append(SendToTarget(target.target.target_id, packet))
+
+
+def move_opening(
+    tables: Tables, flow: FlowKey, opening: OpeningRow, target: TargetRow, now: float
+) -> None:
+    """Follow an opening that the second-ranked host had placed before."""
+    if flow[0] == TCP:
+        bind(tables, flow, target, FlowState.OPENING, now)
+        opening.tried.append(target)
+    else:
+        bind(tables, flow, target, FlowState.ESTABLISHED, now)
+        del tables.openings[flow]
+
+
+def take_copy(tables: Tables, flow: FlowKey, target: TargetRow, now: float) -> None:
+    """Keep a copy of the binding the owner changed."""
+    row = known(tables, flow)
+    if row is None or row.state == FlowState.BACKUP:
+        bind(tables, flow, target, FlowState.BACKUP, now)
--- a/citronspring/systems/routing.py
+++ b/citronspring/systems/routing.py
@@ -15,46 +15,49 @@
     Refuse,
     Relay,
     RelayKind,
-    SendToCaller,
     SendToTarget,
 )
 from citronspring.rendezvous import service_key_of
-from citronspring.systems import second_chance
-from citronspring.systems.binding import bind, close, forget, idle_deadline
+from citronspring.systems.answers import take_answer
+from citronspring.systems.binding import (
+    FIN_FROM_CALLER,
+    TCP,
+    close,
+    copy_deadline,
+    forget,
+    idle_deadline,
+    note_fin,
+    owns,
+    promote,
+)
+from citronspring.systems.hints import STATE_FLAGS, offer_hint, take_hint, use_hint
 from citronspring.systems.openings import (
     RETRY_AFTER,
     forward_by_second,
-    note_refusal,
     open_flow,
-    retry_opening,
-    target_reset_opening,
+    reopen_flow,
 )
 from citronspring.systems.placement import possible_targets
-from citronspring.tables import FlowState, HintRow
+from citronspring.systems.relays import (
+    answer_question,
+    bind_message,
+    confirm_proposal,
+    known,
+    take_binding,
+)
+from citronspring.systems.second_chance import (
+    CONFIRM_WINDOW,
+    begin_walk,
+    hold,
+    near,
+    second_does_not_know,
+)
+from citronspring.tables import FlowState
 
 if TYPE_CHECKING:
-    from citronspring.entities import FlowKey
     from citronspring.messages import Action, Packet, PacketReceived, RelayReceived
     from citronspring.tables import AccountRow, FlowRow, Tables, TargetRow
 
-TCP = 6
-
-#: Flags that change a flow's state; only the owner may see such packets last.
-STATE_FLAGS = SYN | FIN | RST
-
-#: Relayed packets of a flow after which the relaying host is given a hint.
-HINT_EVERY = 16
-
-#: Seconds a hint lasts; well below TIME-WAIT, so it never meets a reused tuple.
-HINT_LIFETIME = 5.0
-
-#: Hints held at once.
-MAX_HINTS = 65536
-
-FIN_FROM_CALLER = 1
-FIN_FROM_TARGET = 2
-BOTH_FINS = 3
-
 
 def receive_packet(
     tables: Tables, event: PacketReceived, now: float, actions: list[Action]
@@ -97,31 +100,6 @@
     actions.append(Relay(RelayKind.TO_OWNER, owner, packet.flow, packet, source_id))
 
 
-def use_hint(
-    tables: Tables,
-    hint: HintRow,
-    packet: Packet,
-    source: TargetRow | None,
-    now: float,
-    actions: list[Action],
-) -> bool:
-    """Forward a packet by a hint if it still holds; return whether it did."""
-    current = tables.targets.get(hint.target.target.target_id)
-    stale = hint.ring_version != tables.ring.version or current is not hint.target
-    if hint.deadline <= now or stale:
-        del tables.hints[packet.flow]
-        return False
-    if packet.flags & STATE_FLAGS or packet.unreachable:
-        return False
-    if packet.from_caller:
-        actions.append(SendToTarget(hint.target.target.target_id, packet))
-        return True
-    if source is not hint.target:
-        return False
-    actions.append(SendToCaller(packet))
-    return True
-
-
 def receive_relay(
     tables: Tables, event: RelayReceived, now: float, actions: list[Action]
 ) -> None:
@@ -138,102 +116,27 @@
         case RelayKind.PROPOSE:
             confirm_proposal(tables, event, now, actions)
         case RelayKind.ASK:
-            answer_question(tables, event, now, actions)
+            take_question(tables, event, now, actions)
         case RelayKind.UNKNOWN:
-            second_chance.second_does_not_know(tables, event.flow, now, actions)
+            second_does_not_know(tables, event.flow, now, actions)
         case RelayKind.BIND:
             take_binding(tables, event, now, actions)
         case RelayKind.HINT:
             take_hint(tables, event, now)
 
 
-def offer_hint(tables: Tables, event: RelayReceived, actions: list[Action]) -> None:
-    """Let a host that relays much of a flow forward the rest itself."""
-    row = tables.flows.rows.get(event.flow)
-    if row is None or row.state != FlowState.ESTABLISHED:
-        return
-    row.relays = (row.relays + 1) % HINT_EVERY
-    if row.relays:
-        return
-    target_id = row.target.target.target_id
-    actions.append(Relay(RelayKind.HINT, event.sender, event.flow, target_id=target_id))
-
-
-def take_hint(tables: Tables, event: RelayReceived, now: float) -> None:
-    """Keep a hint, if it comes from the owner this host knows."""
-    target = tables.targets.get(event.target_id or "")
-    owner = tables.ring.pair(event.flow)[0]
-    if target is None or owner != event.sender or len(tables.hints) >= MAX_HINTS:
-        return
-    tables.hints[event.flow] = HintRow(target, now + HINT_LIFETIME, tables.ring.version)
-
-
-def confirm_proposal(
+def take_question(
     tables: Tables, event: RelayReceived, now: float, actions: list[Action]
 ) -> None:
-    """As second-ranked host, keep a copy of the owner's binding and forward.
-
-    If this host already knows the flow (it was the owner until a moment ago), its
-    binding wins: the flow lives there.
-    """
+    """Answer a question about a flow, or take over a packet of one's own flow."""
     assert event.packet is not None
-    proposed = tables.targets.get(event.target_id or "")
-    row = known(tables, event.flow)
-    if row is not None and row.target is not proposed:
-        actions.append(SendToTarget(row.target.target.target_id, event.packet))
-        actions.append(bind_message(event, row.target))
-        return
-    if proposed is None:
-        actions.append(Drop(DropReason.UNCERTAIN))
+    if not owns(tables, event.flow):
+        answer_question(tables, event, actions)
         return
-    if row is None:
-        bind(tables, event.flow, proposed, FlowState.BACKUP, now)
-    elif row.state == FlowState.BACKUP:
-        row.deadline = idle_deadline(event.flow, proposed.account, now)
-    actions.append(SendToTarget(proposed.target.target_id, event.packet))
-
-
-def bind_message(event: RelayReceived, target: TargetRow) -> Relay:
-    """Tell the sender of a relay which target the flow is on."""
-    target_id = target.target.target_id
-    return Relay(RelayKind.BIND, event.sender, event.flow, target_id=target_id)
-
-
-def answer_question(
-    tables: Tables, event: RelayReceived, now: float, actions: list[Action]
-) -> None:
-    """Forward a packet the owner asks about, or say the flow is not known here."""
-    assert event.packet is not None
+    decide(tables, event.packet, None, now, actions)
     row = known(tables, event.flow)
-    if row is None:
-        actions.append(Relay(RelayKind.UNKNOWN, event.sender, event.flow))
-        return
-    actions.append(SendToTarget(row.target.target.target_id, event.packet))
-    actions.append(bind_message(event, row.target))
-
-
-def known(tables: Tables, flow: FlowKey) -> FlowRow | None:
-    """Return the row of a flow that is not closed."""
-    row = tables.flows.rows.get(flow)
-    if row is None or row.state == FlowState.CLOSING:
-        return None
-    return row
-
-
-def take_binding(
-    tables: Tables, event: RelayReceived, now: float, actions: list[Action]
-) -> None:
-    """Take over a binding the second-ranked host knew."""
-    target = tables.targets.get(event.target_id or "")
-    if target is None:
-        return
-    tables.openings.pop(event.flow, None)
-    walk = tables.walks.pop(event.flow, None)
-    bind(tables, event.flow, target, FlowState.ESTABLISHED, now)
-    if walk is None:
-        return
-    for packet in walk.packets[1:]:
-        actions.append(SendToTarget(target.target.target_id, packet))
+    if row is not None and row.state in (FlowState.ESTABLISHED, FlowState.UNPROVEN):
+        actions.append(bind_message(event, row.target))
 
 
 def decide(
@@ -246,8 +149,8 @@
     """Decide, as owner, where a packet goes."""
     row = tables.flows.rows.get(packet.flow)
     if packet.from_caller:
-        if row is None or row.state == FlowState.CLOSING:
-            open_or_search(tables, row, packet, now, actions)
+        if row is None:
+            open_or_search(tables, packet, now, actions)
         else:
             forward_known(tables, row, packet, now, actions)
     elif source is None:
@@ -259,43 +162,86 @@
 def forward_known(
     tables: Tables, row: FlowRow, packet: Packet, now: float, actions: list[Action]
 ) -> None:
-    """Forward a caller's packet of a bound flow."""
-    target = row.target
-    account = target.account
-    if now >= account.deadlines_renewed_until:
-        account.renew_deadlines(now)
+    """Forward a caller's packet of a flow that has a row."""
+    state = row.state
     flow = packet.flow
-    if row.state == FlowState.ESTABLISHED and flow[0] == TCP:
+    if flow[0] != TCP:
+        forward_datagram(tables, row, packet, now, actions)
+    elif packet.flags & SYN and begins_anew(tables, row, packet):
+        reopen(tables, row, packet, now, actions)
+    elif state == FlowState.ESTABLISHED or state == FlowState.UNPROVEN:
+        account = row.target.account
+        if now >= account.deadlines_renewed_until:
+            account.renew_deadlines(now)
         row.deadline = account.tcp_deadline
         if packet.flags & STATE_FLAGS:
             follow_caller_state(tables, row, packet, now)
-        actions.append(SendToTarget(target.target.target_id, packet))
-        return
-    row.deadline = idle_deadline(flow, account, now)
-    if row.state == FlowState.BACKUP:
-        promote(row)
-    if flow[0] != TCP:
-        forward_datagram(tables, row, packet, now, actions)
-    elif row.state == FlowState.ANSWERED and not packet.flags & (SYN | RST):
-        confirm_opening(tables, row, packet, now, actions)
-    elif row.state == FlowState.OPENING and not packet.flags & (SYN | RST):
-        wrong_target(tables, row, packet, now, actions)
+        actions.append(SendToTarget(row.target.target.target_id, packet))
     else:
-        follow_caller_state(tables, row, packet, now)
-        actions.append(SendToTarget(target.target.target_id, packet))
+        forward_unsettled(tables, row, packet, now, actions)
 
 
-def promote(row: FlowRow) -> None:
-    """Make a copied binding this owner's own."""
-    row.state = FlowState.ESTABLISHED
-    row.target.flows += 1
-    row.target.account.open_flows += 1
+def forward_unsettled(
+    tables: Tables, row: FlowRow, packet: Packet, now: float, actions: list[Action]
+) -> None:
+    """Forward a caller's packet of a TCP flow that is not plainly established."""
+    pinned = SendToTarget(row.target.target.target_id, packet)
+    opens = packet.flags & (SYN | RST)
+    match row.state:
+        case FlowState.DOUBTED:
+            search_in_doubt(tables, row, packet, now, actions)
+        case FlowState.CLOSING:
+            # Last acknowledgements: the pinned target expects them.
+            actions.append(pinned)
+        case FlowState.BACKUP:
+            row.deadline = copy_deadline(packet.flow, row.target.account, now)
+            promote(tables, packet.flow, row)
+            follow_caller_state(tables, row, packet, now)
+            actions.append(pinned)
+        case FlowState.ANSWERED if not opens:
+            confirm_opening(tables, row, packet, now, actions)
+        case FlowState.OPENING if not opens:
+            wrong_target(tables, row, packet, now, actions)
+        case _:
+            row.deadline = idle_deadline(packet.flow, row.target.account, now)
+            follow_caller_state(tables, row, packet, now)
+            actions.append(pinned)
+
+
+def begins_anew(tables: Tables, row: FlowRow, packet: Packet) -> bool:
+    """Whether a SYN opens another flow of the tuple than the row's.
+
+    What is known by hearsay may be of an earlier flow. A SYN on an established flow
+    is mostly a late copy, which its target ignores; but a leaving target must get
+    no new work, so that it is placed again.
+    """
+    if row.state in (FlowState.OPENING, FlowState.ANSWERED):
+        opening = tables.openings.get(packet.flow)
+        return opening is None or opening.packet.seq != packet.seq
+    return row.state != FlowState.ESTABLISHED or row.target.target.leaving
+
+
+def reopen(
+    tables: Tables, row: FlowRow, packet: Packet, now: float, actions: list[Action]
+) -> None:
+    """Open a flow whose tuple has a row."""
+    if not owns(tables, packet.flow):
+        hand_over(tables, packet, actions)
+        return
+    likely = None if row.state == FlowState.CLOSING else row.target
+    reopen_flow(tables, likely, row.target.account, packet, now, actions)
 
 
 def forward_datagram(
     tables: Tables, row: FlowRow, packet: Packet, now: float, actions: list[Action]
 ) -> None:
     """Forward a datagram; now and then by the second host, to renew its copy."""
+    row.deadline = idle_deadline(packet.flow, row.target.account, now)
+    if row.state == FlowState.CLOSING:
+        open_flow(tables, row.target.account, packet, now, actions)
+        return
+    if row.state == FlowState.BACKUP:
+        promote(tables, packet.flow, row)
     opening = tables.openings.get(packet.flow)
     if opening is not None:
         opening.sent += 1
@@ -312,8 +258,9 @@
     """Take the caller's first acknowledgement: of this target's answer, or not."""
     opening = tables.openings.pop(packet.flow, None)
     answer_seq = None if opening is None else opening.answer_seq
-    if answer_seq is None or second_chance.near(packet.ack, answer_seq + 1):
+    if answer_seq is None or near(packet.ack, answer_seq + 1, CONFIRM_WINDOW):
         row.state = FlowState.ESTABLISHED
+        row.deadline = idle_deadline(packet.flow, row.target.account, now)
         follow_caller_state(tables, row, packet, now)
         actions.append(SendToTarget(row.target.target.target_id, packet))
         return
@@ -329,9 +276,21 @@
     other one's answer. Its packets would be reset by the target bound here.
     """
     tables.counters["openings.doubled"] += 1
+    search_in_doubt(tables, row, packet, now, actions)
+
+
+def search_in_doubt(
+    tables: Tables, row: FlowRow, packet: Packet, now: float, actions: list[Action]
+) -> None:
+    """Forget a binding that was wrong, and search without asking for its copy."""
     account = row.target.account
     forget(tables, packet.flow)
-    second_chance.begin_walk(tables, account, packet, now, actions)
+    if packet.flags & RST:
+        spread_caller_reset(account, packet, actions)
+    elif owns(tables, packet.flow):
+        begin_walk(tables, account, packet, now, actions, ask=False)
+    else:
+        hand_over(tables, packet, actions)
 
 
 def follow_caller_state(
@@ -341,45 +300,44 @@
     if packet.flags & RST:
         close(tables, packet.flow, row, now)
     elif packet.flags & FIN:
-        row.fins |= FIN_FROM_CALLER
-        close_when_both_ended(tables, row, packet, now)
-
-
-def close_when_both_ended(
-    tables: Tables, row: FlowRow, packet: Packet, now: float
-) -> None:
-    """Close a flow whose two sides have each sent their FIN."""
-    if row.fins == BOTH_FINS and row.state != FlowState.CLOSING:
-        close(tables, packet.flow, row, now)
+        note_fin(tables, packet.flow, row, FIN_FROM_CALLER, now)
 
 
 def open_or_search(
-    tables: Tables,
-    row: FlowRow | None,
-    packet: Packet,
-    now: float,
-    actions: list[Action],
+    tables: Tables, packet: Packet, now: float, actions: list[Action]
 ) -> None:
-    """Handle a caller's packet of a flow that is unknown or closed here."""
+    """Handle a caller's packet of a flow that is unknown here."""
     account = tables.services.get(service_key_of(packet.flow))
     if account is None:
         refuse_unknown_service(packet, now, actions)
     elif packet.unreachable:
         actions.append(Drop(DropReason.UNCERTAIN))
+    elif not owns(tables, packet.flow):
+        hand_over(tables, packet, actions)
     elif packet.flow[0] != TCP:
         open_flow(tables, account, packet, now, actions)
     elif packet.flags & SYN and not packet.flags & ACK:
         tables.walks.pop(packet.flow, None)
         open_flow(tables, account, packet, now, actions)
-    elif row is not None:
-        # Last acknowledgements of a closed flow: the pinned target expects them.
-        actions.append(SendToTarget(row.target.target.target_id, packet))
     elif packet.flags & RST:
-        spread_caller_reset(tables, account, packet, actions)
+        spread_caller_reset(account, packet, actions)
     else:
         search(tables, account, packet, now, actions)
 
 
+def hand_over(tables: Tables, packet: Packet, actions: list[Action]) -> None:
+    """Pass a packet that was relayed here in error on to the flow's owner.
+
+    The sender's view lags, or this host's does. To place the flow here as well
+    would place it twice. The owner relays a question no further, so no loop forms.
+    """
+    owner = tables.ring.pair(packet.flow)[0]
+    if owner is None:
+        actions.append(Drop(DropReason.NO_OWNER))
+        return
+    actions.append(Relay(RelayKind.ASK, owner, packet.flow, packet))
+
+
 def refuse_unknown_service(packet: Packet, now: float, actions: list[Action]) -> None:
     """Refuse an opening to an address no client account has."""
     if packet.flags & SYN:
@@ -399,113 +357,14 @@
     """Start or join the search for the target of an unknown flow."""
     walk = tables.walks.get(packet.flow)
     if walk is not None:
-        second_chance.hold(walk, packet, actions)
+        hold(tables, walk, packet, now, actions)
     else:
-        second_chance.begin_walk(tables, account, packet, now, actions)
+        begin_walk(tables, account, packet, now, actions)
 
 
 def spread_caller_reset(
-    tables: Tables, account: AccountRow, packet: Packet, actions: list[Action]
+    account: AccountRow, packet: Packet, actions: list[Action]
 ) -> None:
     """Give a caller's reset of an unknown flow to every target it may be on."""
     for target in possible_targets(packet.flow, account):
         actions.append(SendToTarget(target.target.target_id, packet))
-
-
-def take_answer(
-    tables: Tables,
-    row: FlowRow | None,
-    source: TargetRow,
-    packet: Packet,
-    now: float,
-    actions: list[Action],
-) -> None:
-    """Handle a target's answer."""
-    if row is None:
-        answer_of_unknown_flow(tables, source, packet, now, actions)
-    elif row.target is not source:
-        actions.append(Drop(DropReason.STALE_ANSWER))
-    elif row.state == FlowState.ESTABLISHED:
-        answer_established(tables, row, packet, now, actions)
-    elif row.state == FlowState.OPENING:
-        answer_opening(tables, row, packet, now, actions)
-    elif row.state == FlowState.BACKUP:
-        promote(row)
-        answer_established(tables, row, packet, now, actions)
-    else:
-        actions.append(SendToCaller(packet))
-
-
-def answer_established(
-    tables: Tables, row: FlowRow, packet: Packet, now: float, actions: list[Action]
-) -> None:
-    """Pass on an answer of an established flow, and note its FIN or RST."""
-    row.deadline = idle_deadline(packet.flow, row.target.account, now)
-    if packet.flags & RST:
-        close(tables, packet.flow, row, now)
-    elif packet.flags & FIN:
-        row.fins |= FIN_FROM_TARGET
-        close_when_both_ended(tables, row, packet, now)
-    actions.append(SendToCaller(packet))
-
-
-def answer_opening(
-    tables: Tables, row: FlowRow, packet: Packet, now: float, actions: list[Action]
-) -> None:
-    """Handle the first answer to an opening."""
-    flow = packet.flow
-    opening = tables.openings.get(flow)
-    if opening is None:
-        row.state = FlowState.ESTABLISHED
-        answer_established(tables, row, packet, now, actions)
-    elif packet.unreachable:
-        datagram_refused(tables, row, packet, now, actions)
-    elif packet.flags & RST:
-        target_reset_opening(tables, flow, row, now, actions)
-    elif flow[0] != TCP:
-        row.state = FlowState.ESTABLISHED
-        row.target.failures = 0
-        del tables.openings[flow]
-        actions.append(SendToCaller(packet))
-    elif packet.flags & SYN:
-        row.state = FlowState.ANSWERED
-        row.target.failures = 0
-        opening.answer_seq = packet.seq
-        actions.append(SendToCaller(packet))
-    else:
-        # An acknowledgement of numbers from an earlier flow with this tuple: the
-        # caller's stack resets it, which frees the tuple on the target.
-        actions.append(SendToCaller(packet))
-
-
-def datagram_refused(
-    tables: Tables, row: FlowRow, packet: Packet, now: float, actions: list[Action]
-) -> None:
-    """A target refused a datagram: try another if nothing else was sent there."""
-    opening = tables.openings[packet.flow]
-    note_refusal(row.target)
-    if opening.sent > 1:
-        close(tables, packet.flow, row, now)
-        actions.append(SendToCaller(packet))
-        return
-    reason = RefusalReason.NO_HEALTHY_TARGET
-    retry_opening(tables, packet.flow, opening, reason, now, actions)
-
-
-def answer_of_unknown_flow(
-    tables: Tables,
-    source: TargetRow,
-    packet: Packet,
-    now: float,
-    actions: list[Action],
-) -> None:
-    """Learn from an answer where a flow lives that this owner does not know."""
-    walk = tables.walks.get(packet.flow)
-    if walk is not None:
-        second_chance.answer_during_walk(tables, walk, source, packet, now, actions)
-    elif packet.flags & (RST | SYN):
-        # A reset may answer a walk that ended; a SYN-ACK an opening placed twice.
-        actions.append(Drop(DropReason.SWALLOWED_RESET))
-    else:
-        bind(tables, packet.flow, source, FlowState.ESTABLISHED, now)
-        actions.append(SendToCaller(packet))
--- a/citronspring/systems/second_chance.py
+++ b/citronspring/systems/second_chance.py
@@ -12,6 +12,7 @@
 from citronspring.messages import (
     ACK,
     RST,
+    SYN,
     Drop,
     DropReason,
     Relay,
@@ -19,9 +20,9 @@
     SendToCaller,
     SendToTarget,
 )
-from citronspring.systems.binding import bind
+from citronspring.systems.binding import bind_found
 from citronspring.systems.placement import possible_targets
-from citronspring.tables import FlowState, WalkRow
+from citronspring.tables import WalkRow
 
 if TYPE_CHECKING:
     from citronspring.entities import FlowKey
@@ -43,10 +44,14 @@
 #: Walks at once; beyond it packets of unknown flows are dropped.
 MAX_WALKS = 4096
 
-#: Sequence numbers this far apart belong to one connection (largest TCP window).
-SEQUENCE_WINDOW = 1 << 30
+#: Sequence numbers this far apart belong to one connection. Two numbers that are
+#: random by chance both lie this near once in a thousand times.
+SEQUENCE_WINDOW = 1 << 26
 SEQUENCE_MASK = 0xFFFFFFFF
 
+#: What a caller's first acknowledgement can lie beyond the number of a SYN-ACK.
+CONFIRM_WINDOW = 1 << 16
+
 
 def near(a: int, b: int, window: int = SEQUENCE_WINDOW) -> bool:
     """Whether two 32-bit sequence numbers lie within a window of each other."""
@@ -59,8 +64,16 @@
     packet: Packet,
     now: float,
     actions: list[Action],
+    ask: bool = True,
 ) -> None:
-    """Hold a packet of an unknown TCP flow and start looking for its target."""
+    """Hold a packet of an unknown TCP flow and start looking for its target.
+
+    Parameters
+    ----------
+    ask : bool
+        Whether the second-ranked host is asked first. Not when what this owner
+        believed was wrong: its copy would be the same error.
+    """
     if len(tables.walks) >= MAX_WALKS:
         actions.append(Drop(DropReason.WALK_FULL))
         return
@@ -72,20 +85,34 @@
         now + ASK_TIMEOUT,
     )
     tables.walks[packet.flow] = walk
-    owner, second = tables.ring.pair(packet.flow)
-    other = second if owner == tables.host_id else owner
-    if other is None or other == tables.host_id:
+    second = tables.ring.pair(packet.flow)[1]
+    if second is None or not ask:
         try_next(tables, packet.flow, walk, now, actions)
         return
-    actions.append(Relay(RelayKind.ASK, other, packet.flow, packet))
+    actions.append(Relay(RelayKind.ASK, second, packet.flow, packet))
 
 
-def hold(walk: WalkRow, packet: Packet, actions: list[Action]) -> None:
+def hold(
+    tables: Tables, walk: WalkRow, packet: Packet, now: float, actions: list[Action]
+) -> None:
     """Keep a further packet of a flow whose target is being looked for."""
     if len(walk.packets) >= HELD_PACKETS:
         actions.append(Drop(DropReason.WALK_FULL))
+    elif packet.payload_length and not walk.packets[0].payload_length:
+        probe_with_data(tables, walk, packet, now, actions)
+    else:
+        walk.packets.append(packet)
+
+
+def probe_with_data(
+    tables: Tables, walk: WalkRow, packet: Packet, now: float, actions: list[Action]
+) -> None:
+    """Start over with a packet that the holder of the flow will acknowledge."""
+    walk.packets.insert(0, packet)
+    if walk.position < 0:
         return
-    walk.packets.append(packet)
+    walk.position = -1
+    try_next(tables, packet.flow, walk, now, actions)
 
 
 def second_does_not_know(
@@ -102,6 +129,8 @@
 ) -> None:
     """Offer the held packet to the next candidate, or end the walk."""
     walk.position += 1
+    while walk.position < len(walk.candidates) and has_reset(walk):
+        walk.position += 1
     if walk.position >= len(walk.candidates):
         end_walk(tables, flow, walk, now, actions)
         return
@@ -111,6 +140,11 @@
     actions.append(SendToTarget(target_id, walk.packets[0]))
 
 
+def has_reset(walk: WalkRow) -> bool:
+    """Whether the current candidate has already said it does not hold the flow."""
+    return walk.candidates[walk.position].target.target_id in walk.resets
+
+
 def end_walk(
     tables: Tables, flow: FlowKey, walk: WalkRow, now: float, actions: list[Action]
 ) -> None:
@@ -121,8 +155,8 @@
     """
     del tables.walks[flow]
     silent = [row for row in walk.candidates if row.target.target_id not in walk.resets]
-    if len(silent) == 1:
-        bind(tables, flow, silent[0], FlowState.ESTABLISHED, now)
+    if len(silent) == 1 and is_certain(tables):
+        bind_found(tables, flow, silent[0], now)
         for packet in walk.packets[1:]:
             actions.append(SendToTarget(silent[0].target.target_id, packet))
         return
@@ -152,11 +186,15 @@
     """Whether an answer belongs to the caller's connection.
 
     A target in TIME-WAIT of an earlier flow with the same tuple acknowledges
-    too; its numbers are those of the old connection.
+    too; its numbers are those of the old connection. A target on which the SYN was
+    placed a second time answers with a SYN-ACK that the caller did not take.
     """
+    probe = walk.packets[0]
     if not answer.flags & ACK:
         return False
-    return near(answer.ack, walk.packets[0].seq)
+    if answer.flags & SYN:
+        return probe.ack == (answer.seq + 1) & SEQUENCE_MASK
+    return near(answer.ack, probe.seq) and near(answer.seq, probe.ack)
 
 
 def found(
@@ -171,7 +209,7 @@
     flow = answer.flow
     del tables.walks[flow]
     tables.counters["walks.found"] += 1
-    bind(tables, flow, target, FlowState.ESTABLISHED, now)
+    bind_found(tables, flow, target, now)
     actions.append(SendToCaller(answer))
     offered = walk.position >= 0 and walk.candidates[walk.position] is target
     for packet in walk.packets[1 if offered else 0 :]:
@@ -189,7 +227,8 @@
     """Swallow a candidate's reset; pass it on only when all others said so too."""
     flow = packet.flow
     walk.resets.add(target.target.target_id)
-    if len(walk.resets) == len(walk.candidates) and is_certain(tables, target, now):
+    all_reset = all(row.target.target_id in walk.resets for row in walk.candidates)
+    if all_reset and is_certain(tables):
         del tables.walks[flow]
         tables.counters["walks.unknown_flow"] += 1
         actions.append(SendToCaller(packet))
@@ -200,7 +239,7 @@
         try_next(tables, flow, walk, now, actions)
 
 
-def is_certain(tables: Tables, target: TargetRow, now: float) -> bool:
+def is_certain(tables: Tables) -> bool:
     """Whether this host knows every target the account's flows can live on.
 
     A peer with a higher revision may have placed the flow on a target this host
--- a/citronspring/tables.py
+++ b/citronspring/tables.py
@@ -24,6 +24,9 @@
 #: Width in seconds of one bucket of the expiry wheel.
 WHEEL_GRAIN = 4.0
 
+#: Seconds after which a flow is looked at again, however long it may yet live.
+LOOK_INTERVAL = 64.0
+
 
 class FlowState(IntEnum):
     """How far a flow has come; plain integers in the rows."""
@@ -37,6 +40,10 @@
     CLOSING = 4
     #: A copy of the binding, held for the owner.
     BACKUP = 5
+    #: Bound on another host's word; the target has not yet sent data of the flow.
+    UNPROVEN = 6
+    #: Bound on another's word that a reset belied; the next packet starts a walk.
+    DOUBTED = 7
 
 
 @dataclass(slots=True)
@@ -207,17 +214,23 @@
     rows: dict[FlowKey, FlowRow] = field(default_factory=dict)
     wheel: dict[int, list[FlowKey]] = field(default_factory=dict)
 
-    def add(self, flow: FlowKey, row: FlowRow) -> None:
+    def add(self, flow: FlowKey, row: FlowRow, now: float) -> None:
         """Add a row, and have it looked at when its deadline has passed."""
         earlier = self.rows.get(flow)
         if earlier is not None:
             row.bucket = earlier.bucket
         self.rows[flow] = row
-        self.schedule(flow, row)
+        self.schedule(flow, row, now)
+
+    def schedule(self, flow: FlowKey, row: FlowRow, now: float) -> None:
+        """Have the flow looked at once its deadline has passed, or earlier.
 
-    def schedule(self, flow: FlowKey, row: FlowRow) -> None:
-        """Have the flow looked at once its deadline has passed."""
-        position = int(row.deadline // WHEEL_GRAIN) + 1
+        A key stays in its bucket after its flow is closed. Were it first looked at
+        when the idle time of an hour has passed, the keys of an hour of short
+        flows would pile up.
+        """
+        look_at = min(row.deadline, now + LOOK_INTERVAL)
+        position = int(look_at // WHEEL_GRAIN) + 1
         bucket = self.wheel.setdefault(position, [])
         if row.bucket is not bucket:
             row.bucket = bucket
--- a/tests/test_systems/driver.py
+++ b/tests/test_systems/driver.py
@@ -58,8 +58,11 @@
     return from_caller(flow, SYN, CALLER_SEQ, 0)
 
 
-def from_target(flow, target_id, flags=ACK, seq=TARGET_SEQ + 1, ack=CALLER_SEQ + 1):
-    return PacketReceived(Packet(flow, False, flags, seq, ack, 0, b""), target_id)
+def from_target(
+    flow, target_id, flags=ACK, seq=TARGET_SEQ + 1, ack=CALLER_SEQ + 1, data=b""
+):
+    packet = Packet(flow, False, flags, seq, ack, len(data), data)
+    return PacketReceived(packet, target_id)
 
 
 def reset(flow, target_id, seq=TARGET_SEQ + 1):
--- a/tests/test_systems/test_second_chance.py
+++ b/tests/test_systems/test_second_chance.py
@@ -167,6 +167,8 @@
     joined.receive(event, 1.0)
     row = joined.tables.flows.rows[flow]
     assert row.target.target.target_id == "bundelpers-5"
+    assert row.state == FlowState.UNPROVEN
+    joined.receive(driver.from_target(flow, "bundelpers-5", data=b"page"), 1.0)
     assert row.state == FlowState.ESTABLISHED
 
 
