Test what removed safeguards did not show; ask for records before a whole copy

Focused tests now cover them. A host at revision 0 asks for records first, as a peer that still has them all need not send a whole copy.

--- a/citronspring/systems/spread.py
+++ b/citronspring/systems/spread.py
@@ -14,7 +14,7 @@
 from citronspring.entities import HostState
 from citronspring.messages import ReadPlatform, SendControl
 from citronspring.rendezvous import ranked
-from citronspring.systems.bulk import begin_bulk, join_pieces, offer_bulk, slices
+from citronspring.systems.bulk import join_pieces, offer_bulk, slices
 from citronspring.systems.dissemination import present_hosts
 from citronspring.systems.revisions import apply_records, apply_snapshot
 
@@ -171,9 +171,6 @@
     if now < spread.request_at or spread.bulk is not None:
         return
     spread.request_at = now + REQUEST_INTERVAL
-    if tables.revision == 0:
-        begin_bulk(tables, peer, now)
-        return
     actions.append(SendControl(peer, RecordsRequest(tables.revision)))
 
 
--- a/tests/test_control/test_envelope.py
+++ b/tests/test_control/test_envelope.py
@@ -210,6 +210,20 @@
     assert budget.dropped > 0
 
 
+def test_heartbeats_go_at_once_though_loads_used_up_their_part():
+    """Loads fill the budget, and then many hosts ping this one at once.
+
+    Answers that wait behind loads come too late for the pings.
+    """
+    budget = ControlBudget()
+    for _ in range(20):
+        budget.offer("load", Urgency.LOAD, 400, 0.0)
+    assert 4 < len(budget.release(0.0)) < 8
+    for _ in range(20):
+        budget.offer("ack", Urgency.HEARTBEAT, 100, 0.01)
+    assert budget.release(0.01) == ["ack"] * 20
+
+
 def test_budget_drops_the_least_urgent_above_its_bound():
     budget = ControlBudget()
     budget.paid_at = 10.0
--- a/tests/test_systems/test_membership.py
+++ b/tests/test_systems/test_membership.py
@@ -4,14 +4,15 @@
 
 import pytest
 
-from citronspring.control.messages import Ack, HostUpdate, Ping
-from citronspring.entities import HostState
+from citronspring.control.messages import Ack, HostUpdate, Ping, Records
+from citronspring.entities import ChangeRecord, HostState
 from citronspring.messages import (
     ControlReceived,
     Drop,
     DropReason,
     HostListRead,
     LeaveRequested,
+    SendControl,
 )
 from tests.conftest import make_host
 from tests.test_systems import driver
@@ -60,6 +61,20 @@
     assert cluster.all_alive()
 
 
+def test_hosts_cut_off_from_each_other_alone_stay_alive():
+    """Two zones can't reach each other, and both reach the third.
+
+    By their own pings each would hold the other dead, and the third would hear
+    it. Pings through others keep them alive for all.
+    """
+    cluster = settled()
+    first, second, _ = (host.zone for host in cluster.hosts[:3])
+    cluster.network.cuts = {frozenset((first, second))}
+    cluster.run(30.0)
+    assert cluster.counted("membership.died") == 0
+    assert cluster.counted("membership.suspected") < 60
+
+
 def test_suspected_host_refutes_under_a_new_incarnation():
     """A rumour says that a serving host is suspect.
 
@@ -78,6 +93,45 @@
     assert cluster.counted("membership.died") == 0
 
 
+def test_whoever_talks_to_a_host_tells_what_is_said_of_it(snapshot):
+    """A host held dead for long comes back, with its clock behind.
+
+    Rumours have died down by then. If pings and answers did not tell it, it
+    would never learn that it has to refute.
+    """
+    core = driver.make_core(snapshot, hosts=2)
+    row = core.tables.hosts["host-1"]
+    row.state, row.forget_at = HostState.DEAD, 900.0
+    rumour = HostUpdate("host-1", HostState.DEAD, 0)
+    [ack] = core.receive(ControlReceived("host-1", Ping(1, 1)), 0.0)
+    assert rumour in ack.message.updates
+    pings = pings_of(core, [0.0, 0.6, 1.2])
+    assert pings
+    assert all(rumour in ping.updates for ping in pings)
+
+
+def pings_of(core, times):
+    actions = [item for now in times for item in core.tick(now)]
+    sent = [item.message for item in actions if isinstance(item, SendControl)]
+    return [message for message in sent if isinstance(message, Ping)]
+
+
+def test_suspect_is_asked_on_until_it_refutes(snapshot):
+    """An answer comes after the suspicion, to a ping from before it.
+
+    The host does not know yet that it is suspected. Were it asked no more, it
+    would be held dead though it answers.
+    """
+    core = driver.make_core(snapshot, hosts=2)
+    core.tables.membership.join = None
+    pings = pings_of(core, [0.05 * step for step in range(27)])
+    assert core.tables.hosts["host-1"].state is HostState.SUSPECT
+    core.receive(ControlReceived("host-1", Ack(pings[0].sequence, 1)), 1.35)
+    again = pings_of(core, [1.7])
+    suspicion = HostUpdate("host-1", HostState.SUSPECT, 0)
+    assert any(suspicion in ping.updates for ping in again)
+
+
 def test_restarted_host_outranks_the_rumour_of_its_death():
     """A host dies, is held dead, and starts again under the same name.
 
@@ -151,7 +205,7 @@
     took = cluster.run_until(
         lambda: cluster.states_of("host-3") == {HostState.LEAVING}, 3.0
     )
-    assert took <= 2.0
+    assert took <= 1.0
     cluster.run(10.0)
     assert cluster.states_of("host-3") == {HostState.LEAVING}
     for other in cluster.network.hosts.values():
@@ -241,6 +295,37 @@
     assert driver.sent_to(core.receive(driver.syn(driver.flow_to()), 12.1))
 
 
+def test_woken_host_holds_nobody_dead_for_its_own_sleep(snapshot):
+    """A host suspects another, freezes, and wakes after the deadline.
+
+    Nobody listened meanwhile, so the silence proves nothing. Held dead, the
+    other would lose its flows to this one.
+    """
+    core = driver.make_core(snapshot, hosts=2)
+    core.tables.membership.join = None
+    pings_of(core, [0.05 * step for step in range(27)])
+    assert core.tables.hosts["host-1"].state is HostState.SUSPECT
+    core.tick(30.0)
+    assert core.tables.hosts["host-1"].state is HostState.SUSPECT
+
+
+def test_fence_stays_until_the_missing_change_is_in_force(snapshot):
+    """A woken host hears from a peer that it misses a change.
+
+    To know that it is behind is not enough: packets that waited would still go
+    by the old configuration.
+    """
+    core = driver.make_core(snapshot, hosts=2)
+    core.tick(0.0)
+    core.tick(10.0)
+    asked = min(core.tables.fence.sequences)
+    core.receive(ControlReceived("host-1", Ack(asked, 2)), 10.1)
+    assert core.tables.fence.until is not None
+    record = ChangeRecord(2, "c", "inzendloket", None)
+    core.receive(ControlReceived("host-1", Records((record,))), 10.2)
+    assert core.tables.fence.until is None
+
+
 def test_answer_from_before_the_freeze_does_not_lower_the_fence(snapshot):
     """An answer waited in the socket through the freeze.
 
--- a/tests/test_systems/test_spread.py
+++ b/tests/test_systems/test_spread.py
@@ -15,6 +15,7 @@
     Records,
     RecordsRequest,
     SnapshotPart,
+    SnapshotRequest,
 )
 from citronspring.entities import Snapshot
 from citronspring.messages import (
@@ -70,6 +71,17 @@
     assert cluster.run_until(cluster.agreed, 5.0) <= 4.0
 
 
+def test_change_is_pushed_without_waiting_for_pings():
+    """Hundreds of hosts learn of a change only from those who have it.
+
+    By pings alone each doubling of them would take half a second.
+    """
+    cluster = settled(count=24)
+    cluster.commit()
+    cluster.read_now("host-0")
+    assert cluster.run_until(cluster.agreed, 3.0) <= 1.0
+
+
 def test_only_readers_call_the_platform():
     """The platform's rates grow more slowly than the fleet.
 
@@ -170,6 +182,8 @@
     tell(core, Ack(1, 2))
     assert core.tables.revision == 5
     assert core.tables.accounts["bundelpers"].account == before
+    assert core.tables.spread.bulk is None
+    assert not core.tables.spread.early
 
 
 def test_copy_never_mixes_two_revisions():
@@ -195,6 +209,23 @@
     assert all(len(row.targets) == 14 for row in core.tables.accounts.values())
 
 
+def test_lost_part_of_a_copy_is_asked_for_again():
+    accounts = [make_account(f"a{index}", 15, f"192.0.2.{index}") for index in range(3)]
+    parts = cut_into_parts(accounts)
+    core = make_core()
+    tell(core, SnapshotPart(5, 0, 3, parts[0]))
+    core.tick(0.0)
+    tell(core, SnapshotPart(5, 2, 3, parts[2]), 0.1)
+    for now in (0.1, 0.2):
+        assert asked_for(core, now) == []
+    assert asked_for(core, 0.35) == [SnapshotRequest(5, 1)]
+
+
+def asked_for(core, now):
+    messages = [item.message for item in core.tick(now) if hasattr(item, "message")]
+    return [item for item in messages if isinstance(item, SnapshotRequest)]
+
+
 def test_peers_revision_on_a_heartbeat_is_noted():
     """A host that is behind must not pass a reset on as certain.
 
