Let hosts talk: control socket, platform reader, keys in the settings

A host read its configuration once and stopped when the platform was down. It now starts without it, takes the configuration from a peer or, as a reader or when alone, from the platform, and tries again at a stored time after a failure. The clock counts time spent suspended, so that the fence sees a machine that slept.

--- a/citronspring/cli/serve.py
+++ b/citronspring/cli/serve.py
@@ -36,7 +36,7 @@
     """Run one host process."""
     async with PlatformClient.from_url(settings.platform.url) as platform:
         store = ConfigurationStore.from_platform(platform, settings.platform.zones)
-        daemon = HostDaemon.from_settings(settings, store.read_snapshot)
+        daemon = HostDaemon.from_settings(settings, store)
         async with anyio.create_task_group() as group:
             group.start_soon(watch_signals, daemon)
             await daemon.run()
--- a/citronspring/control/codec.py
+++ b/citronspring/control/codec.py
@@ -44,7 +44,7 @@
 #: Most items in a list and bytes in a string, against lengths made up to exhaust
 #: memory.
 MAX_ITEMS = 512
-MAX_STRING = 1024
+MAX_STRING = 4096
 
 #: Most parts of a whole configuration.
 MAX_PARTS = 1 << 20
--- a/citronspring/control/tables.py
+++ b/citronspring/control/tables.py
@@ -200,5 +200,7 @@
     ask_at: float = 0.0
     #: Pings sent since the jump: only answers to these are known to be fresh.
     sequences: set[int] = field(default_factory=set)
+    #: Whether the platform was read since the jump.
+    platform_answered: bool = False
     #: Revision that a peer told of; forwards once it is reached.
     required: int | None = None
--- a/citronspring/control/wire.py
+++ b/citronspring/control/wire.py
@@ -26,7 +26,7 @@
 Item = TypeVar("Item")
 
 #: Longest name of anything, in characters.
-MAX_NAME = 128
+MAX_NAME = 1024
 
 #: Integers are kept where a double is exact, far from where adding one overflows.
 MAX_INTEGER = 1 << 53
@@ -200,12 +200,12 @@
 
 
 def read_record(struct: ttypes.ChangeRecord) -> ChangeRecord:
-    """Return a change record."""
+    """Return a change record; one that touched no account names none."""
     account = None if struct.account is None else read_account(struct.account)
     record = ChangeRecord(
         integer(struct.revision, "revision"),
         name(struct.change_id, "change id"),
-        name(struct.account_id, "account"),
+        name(struct.account_id, "account") if struct.account_id else "",
         account,
     )
     if account is not None and account.account_id != record.account_id:
--- /dev/null
+++ b/citronspring/daemons/control.py
@@ -0,0 +1,180 @@
+"""The control socket: sealed datagrams within the byte budget."""
+
+from __future__ import annotations
+
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from citronspring.control.budget import (
+    IP_UDP_HEADERS,
+    ControlBudget,
+    Urgency,
+    urgency_of,
+)
+from citronspring.control.envelope import LEAST_KEY, Opener, Sealer
+from citronspring.daemons.sockets import bind_udp, send
+from citronspring.errors import ControlMessageError, SettingsError
+from citronspring.events import CONTROL_WITHOUT_KEY
+from citronspring.logs import log
+from citronspring.messages import ControlReceived, SendControl
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from pydantic import SecretStr
+
+    from citronspring.balancer import Balancer
+    from citronspring.daemons.sockets import Source
+    from citronspring.messages import Action
+    from citronspring.settings import ControlSection, Settings
+
+#: Key of hosts that all live on loopback, where settings need not give one.
+LOOPBACK_KEY = bytes(LEAST_KEY)
+
+
+def wall_clock() -> int:
+    """Return milliseconds since the epoch."""
+    return time.time_ns() // 1_000_000
+
+
+class ControlChannel:
+    """Seals and sends the core's control messages; opens those of others.
+
+    Parameters
+    ----------
+    core : Balancer
+        Decides.
+    settings : Settings
+        Names the socket and the keys.
+    boot_time : int
+        Milliseconds since the epoch at which this process started.
+    clock : callable
+        Returns seconds that never go back.
+    perform : callable
+        Does what the core asks for.
+    """
+
+    def __init__(
+        self,
+        core: Balancer,
+        settings: Settings,
+        boot_time: int,
+        clock: Callable[[], float],
+        perform: Callable[[list[Action]], None],
+    ) -> None:
+        self.core = core
+        self.clock = clock
+        self.perform = perform
+        keys = read_keys(settings.control)
+        host_id = settings.host.id
+        self.sealer = Sealer(host_id, keys[0], boot_time)
+        self.opener = Opener(host_id, keys)
+        self.budget: ControlBudget[Outgoing] = ControlBudget()
+        self.socket = bind_udp(settings.host.control)
+
+    @classmethod
+    def from_settings(
+        cls,
+        core: Balancer,
+        settings: Settings,
+        boot_time: int,
+        clock: Callable[[], float],
+        perform: Callable[[list[Action]], None],
+    ) -> ControlChannel:
+        """Read the keys and bind the socket."""
+        return cls(core, settings, boot_time, clock, perform)
+
+    def close(self) -> None:
+        """Close the socket."""
+        self.socket.close()
+
+    def receive(self, datagram: bytes, source: Source) -> None:
+        """Hand a genuine message to the core; count any other datagram."""
+        try:
+            opened = self.opener.open(datagram, wall_clock())
+        except ControlMessageError as error:
+            self.core.tables.counters[f"control.rejected.{error.reason}"] += 1
+            return
+        event = ControlReceived(opened.sender, opened.message)
+        self.perform(self.core.receive(event, self.clock()))
+
+    def send(self, action: SendControl) -> None:
+        """Send a message now, or once the budget allows it."""
+        try:
+            datagram = self.sealer.seal(action.message, action.host_id, wall_clock())
+        except ControlMessageError as error:
+            self.core.tables.counters[f"control.unsent.{error.reason}"] += 1
+            return
+        urgency = urgency_of(action.message)
+        outgoing = Outgoing(action.host_id, datagram, urgency)
+        self.budget.offer(outgoing, urgency, len(datagram), self.clock())
+        self.flush()
+
+    def flush(self) -> None:
+        """Send what the budget allows by now."""
+        counters = self.core.tables.counters
+        for outgoing in self.budget.release(self.clock()):
+            row = self.core.tables.hosts.get(outgoing.host_id)
+            if row is None:
+                continue
+            if not send(self.socket, outgoing.datagram, row.host.control):
+                counters["dropped.send"] += 1
+                continue
+            counters[outgoing.counter] += len(outgoing.datagram) + IP_UDP_HEADERS
+        counters["control.over_budget"] = self.budget.dropped
+
+
+class Outgoing:
+    """A sealed datagram on its way to a host."""
+
+    __slots__ = ("datagram", "host_id", "urgency")
+
+    def __init__(self, host_id: str, datagram: bytes, urgency: Urgency) -> None:
+        self.host_id = host_id
+        self.datagram = datagram
+        self.urgency = urgency
+
+    @property
+    def counter(self) -> str:
+        """Name of the counter of its bytes; copies to new hosts count apart."""
+        bulk = self.urgency is Urgency.BULK
+        return "control.bulk_bytes_sent" if bulk else "control.bytes_sent"
+
+
+def read_keys(section: ControlSection) -> tuple[bytes, ...]:
+    """Return the key in use, and the previous one if given.
+
+    Raises
+    ------
+    SettingsError
+        When a key cannot be read or is too short.
+    """
+    if not section.has_key:
+        log(CONTROL_WITHOUT_KEY)
+        return (LOOPBACK_KEY,)
+    keys = [read_key("control.key", section.key, section.key_file)]
+    if section.has_previous:
+        previous = section.previous_key, section.previous_key_file
+        keys.append(read_key("control.previous_key", *previous))
+    return tuple(keys)
+
+
+def read_key(name: str, value: SecretStr | None, file: str | None) -> bytes:
+    """Return one key from the settings or its file."""
+    remedy = f"give at least {LEAST_KEY} bytes as hexadecimal digits"
+    text = value.get_secret_value() if value is not None else ""
+    if file is not None:
+        try:
+            text = Path(file).read_text("ascii")
+        except (OSError, ValueError):
+            message = f"{name}_file: {file} cannot be read"
+            raise SettingsError(message, "name a readable file") from None
+    try:
+        key = bytes.fromhex(text.strip())
+    except ValueError:
+        raise SettingsError(f"{name} is not hexadecimal", remedy) from None
+    # blake2b takes keys of at most 64 bytes.
+    if not LEAST_KEY <= len(key) <= 64:
+        raise SettingsError(f"{name} has {len(key)} bytes", remedy)
+    return key
--- a/citronspring/daemons/host.py
+++ b/citronspring/daemons/host.py
@@ -11,26 +11,43 @@
 from citronspring import __version__
 from citronspring.application import Application
 from citronspring.daemons.carrier import Carrier
+from citronspring.daemons.control import ControlChannel, wall_clock
+from citronspring.daemons.reader import PlatformReader
 from citronspring.daemons.sockets import receive_forever
-from citronspring.events import SIGNAL
+from citronspring.events import NOT_CONFIGURED, SIGNAL
 from citronspring.logs import log, log_application, write_dump
-from citronspring.messages import LeaveRequested, SnapshotRead, Stopped
+from citronspring.messages import (
+    LeaveRequested,
+    ReadPlatform,
+    SendControl,
+    Stopped,
+)
 from citronspring.metrics import MeasuredBalancer
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Callable
 
     from anyio.abc import TaskStatus
 
-    from citronspring.entities import Snapshot
+    from citronspring.daemons.reader import ConfigurationSource
     from citronspring.messages import Action
     from citronspring.settings import Settings
 
 #: Seconds between two ticks of the core.
 TICK = 0.05
 
-#: Reads the configuration from the platform.
-ReadSnapshot = "Callable[[], Awaitable[Snapshot]]"
+#: Seconds that a starting host waits for its configuration before it says that it
+#: serves all the same.
+START_TIME = 5.0
+
+
+def boot_clock() -> float:
+    """Return seconds since the machine started, time spent suspended included.
+
+    A clock that stands still with the machine would hide from the process that
+    it slept through changes.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
 class HostDaemon:
@@ -40,8 +57,8 @@
     ----------
     settings : Settings
         Checked settings.
-    read_snapshot : callable
-        Reads the configuration to start with.
+    source : ConfigurationSource
+        Reads the configuration.
     clock : callable
         Seconds that never go back.
     """
@@ -49,59 +66,92 @@
     def __init__(
         self,
         settings: Settings,
-        read_snapshot: Callable[[], Awaitable[Snapshot]],
-        clock: Callable[[], float] = time.monotonic,
+        source: ConfigurationSource,
+        clock: Callable[[], float] = boot_clock,
     ) -> None:
         self.settings = settings
-        self.read_snapshot = read_snapshot
         self.clock = clock
         self.application = Application()
+        boot_time = wall_clock()
         self.core = MeasuredBalancer.from_config(
             settings.host.to_host(),
             [peer.to_host() for peer in settings.peers],
             settings.limits.max_flows,
+            incarnation=boot_time,
         )
         self.carrier = Carrier.from_settings(
             self.core, self.application, settings, clock
         )
+        perform = self.carrier.perform
+        self.control = ControlChannel.from_settings(
+            self.core, settings, boot_time, clock, perform
+        )
+        self.reader = PlatformReader(self.core, source, clock, perform)
+        #: Highest revision that was announced as applied.
+        self.revision = 0
         self.application.connect("action", self.take_action)
         log_application(self.application)
         self.stopping = anyio.Event()
 
     @classmethod
     def from_settings(
-        cls, settings: Settings, read_snapshot: Callable[[], Awaitable[Snapshot]]
+        cls, settings: Settings, source: ConfigurationSource
     ) -> HostDaemon:
         """Make the process that the settings describe."""
-        return cls(settings, read_snapshot)
+        return cls(settings, source)
 
     async def run(
         self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
     ) -> None:
         """Serve until the core says the host may stop."""
-        snapshot = await self.read_snapshot()
-        self.core.receive(SnapshotRead(snapshot), self.clock())
         async with anyio.create_task_group() as group:
             carrier = self.carrier
             group.start_soon(receive_forever, carrier.tunnel, carrier.receive_tunnelled)
             group.start_soon(receive_forever, carrier.relay, carrier.receive_relayed)
+            control = self.control
+            group.start_soon(receive_forever, control.socket, control.receive)
+            group.start_soon(self.reader.read_on_request)
+            group.start_soon(self.reader.watch)
+            group.start_soon(self.reader.confirm)
             group.start_soon(self.tick_forever)
+            await self.wait_for_configuration()
             task_status.started()
             self.application.emit("started")
             await self.stopping.wait()
             group.cancel_scope.cancel()
         carrier.close()
+        control.close()
         self.application.emit("stopped")
 
+    async def wait_for_configuration(self) -> None:
+        """Wait for a first configuration, from a peer or the platform."""
+        with anyio.move_on_after(START_TIME) as scope:
+            while self.core.tables.revision == 0 and not self.reader.answered.is_set():
+                await anyio.sleep(TICK)
+        if scope.cancelled_caught:
+            log(NOT_CONFIGURED)
+
     async def tick_forever(self) -> None:
         """Run the core's timed systems."""
         while True:
             self.carrier.perform(self.core.tick(self.clock()))
+            self.control.flush()
+            self.announce_revision()
             await anyio.sleep(TICK)
 
+    def announce_revision(self) -> None:
+        """Tell listeners of a revision that has come in force."""
+        if self.core.tables.revision > self.revision:
+            self.revision = self.core.tables.revision
+            self.application.emit("revision-applied", self.revision)
+
     def take_action(self, action: Action) -> None:
         """Do what the core asks for beside packets."""
         match action:
+            case SendControl():
+                self.control.send(action)
+            case ReadPlatform():
+                self.reader.request()
             case Stopped():
                 self.stopping.set()
 
--- a/citronspring/demonstration.py
+++ b/citronspring/demonstration.py
@@ -273,5 +273,5 @@
     sections = system.describe_hosts(HOSTS)
     for section in sections:
         settings = system.settings_of(section, sections, url)
-        daemon = HostDaemon.from_settings(settings, store.read_snapshot)
+        daemon = HostDaemon.from_settings(settings, store)
         await system.add_host(daemon)
--- a/citronspring/events.py
+++ b/citronspring/events.py
@@ -59,6 +59,44 @@
     200, "revision-applied", Level.INFO, "A configuration revision is in force here."
 )
 
+PLATFORM_READ_FAILED = Event(
+    201,
+    "platform-read-failed",
+    Level.WARNING,
+    "The platform could not be read; the host serves what it has and tries again.",
+    "If it stays: look at the key-value service and the way to it.",
+)
+NOT_CONFIGURED = Event(
+    202,
+    "not-configured",
+    Level.WARNING,
+    "The host starts without configuration: neither peers nor platform gave one.",
+    "Look at the key-value service and at the peers in the settings.",
+)
+
+# 300 to 399: what hosts tell each other
+
+CONTROL_WITHOUT_KEY = Event(
+    300,
+    "control-without-key",
+    Level.WARNING,
+    "No control key is configured; all control sockets are on loopback.",
+    "Set control.key_file to run hosts on more than one machine.",
+)
+CLOCK_JUMPED = Event(
+    301,
+    "clock-jumped",
+    Level.WARNING,
+    "The process stood still; it drops packets until it knows it is current.",
+    "If it happens again: look for pauses of the machine or for too little memory.",
+)
+FENCE_LOWERED = Event(
+    302,
+    "fence-lowered",
+    Level.INFO,
+    "The host forwards again after its clock had jumped.",
+)
+
 # 500 to 599: the administration API
 
 ADMIN_LISTENING = Event(
--- a/citronspring/settings.py
+++ b/citronspring/settings.py
@@ -15,6 +15,7 @@
     ConfigDict,
     Field,
     PlainSerializer,
+    SecretStr,
     ValidationError,
     model_validator,
 )
@@ -134,6 +135,40 @@
     leave_seconds: Seconds = 30.0
 
 
+class ControlSection(Section):
+    """The key by which hosts know each other's control datagrams."""
+
+    #: Hexadecimal, at least 16 bytes; better kept in a file.
+    key: SecretStr | None = None
+    #: File that holds the key.
+    key_file: str | None = None
+    #: Accepted as well while keys are being replaced.
+    previous_key: SecretStr | None = None
+    previous_key_file: str | None = None
+
+    @model_validator(mode="after")
+    def check_keys(self) -> Self:
+        """Require one place for each key, and a key before a previous one."""
+        if self.key is not None and self.key_file is not None:
+            raise finding("key_file", "(hidden)", "give either key or key_file")
+        if self.previous_key is not None and self.previous_key_file is not None:
+            remedy = "give either previous_key or previous_key_file"
+            raise finding("previous_key", "(hidden)", remedy)
+        if self.has_previous and not self.has_key:
+            raise finding("key", "", "give the key in use beside the previous one")
+        return self
+
+    @property
+    def has_key(self) -> bool:
+        """Whether a key is given."""
+        return self.key is not None or self.key_file is not None
+
+    @property
+    def has_previous(self) -> bool:
+        """Whether a previous key is given."""
+        return self.previous_key is not None or self.previous_key_file is not None
+
+
 class TokenSection(Section):
     """A bearer token of the administration API; the value is kept elsewhere."""
 
@@ -196,6 +231,7 @@
     platform: PlatformSection
     peers: tuple[HostSection, ...] = ()
     limits: LimitsSection = LimitsSection()
+    control: ControlSection = ControlSection()
     admin: AdminSection = AdminSection()
     logs: LogsSection = LogsSection()
 
@@ -248,6 +284,16 @@
                 seen[endpoint] = f"{key}.{name}"
         return self
 
+    @model_validator(mode="after")
+    def check_control(self) -> Self:
+        """Refuse control sockets that others reach when there is no key."""
+        for key, section in self.sections():
+            ip = section.control.ip
+            if not self.control.has_key and not ip_address(ip).is_loopback:
+                remedy = f"{key}.control is not on loopback: give all hosts one key"
+                raise finding("control.key_file", "", remedy)
+        return self
+
     @model_validator(mode="after")
     def check_fabric(self) -> Self:
         """Refuse a fabric address that is a host's.
--- a/citronspring/systems/control.py
+++ b/citronspring/systems/control.py
@@ -55,7 +55,7 @@
         case Ping() | Ack() | PingRequest() | Gossip():
             hear_of_revision(tables, sender, message.revision, now, actions)
     dispatch(tables, sender, message, now, actions)
-    check_reached(tables)
+    check_reached(tables, actions)
 
 
 def dispatch(
--- a/citronspring/systems/fence.py
+++ b/citronspring/systems/fence.py
@@ -10,7 +10,8 @@
 from typing import TYPE_CHECKING
 
 from citronspring.control.tables import sample
-from citronspring.messages import Drop, DropReason, ReadPlatform
+from citronspring.events import CLOCK_JUMPED, FENCE_LOWERED
+from citronspring.messages import Drop, DropReason, Log, ReadPlatform
 from citronspring.systems.dissemination import SUSPECT_TIME, present_hosts
 from citronspring.systems.membership import send_ping
 
@@ -37,9 +38,12 @@
     if fence.ticked_at is None or now - fence.ticked_at < JUMP:
         return
     tables.counters["fence.raised"] += 1
+    fields: dict[str, object] = {"seconds": round(now - fence.ticked_at, 3)}
+    actions.append(Log(CLOCK_JUMPED.number, fields))
     fence.ticked_at = now
     fence.until = now + FENCE_TIME
     fence.required = None
+    fence.platform_answered = False
     fence.sequences.clear()
     renew_suspicions(tables, now)
     actions.append(ReadPlatform(tables.revision))
@@ -60,9 +64,14 @@
     fence.ticked_at = now
     if fence.until is None:
         return
-    if now >= fence.until:
+    check_reached(tables, actions)
+    if fence.until is None:
+        return
+    if fence.platform_answered and now >= fence.until - FENCE_TIME / 2:
+        lower(tables, "platform", actions)
+    elif now >= fence.until:
         tables.counters["fence.expired"] += 1
-        lower(tables)
+        lower(tables, "deadline", actions)
     elif now >= fence.ask_at:
         ask_peers(tables, now, actions)
 
@@ -89,24 +98,26 @@
         return
     if revision >= tables.revision:
         fence.required = max(revision, fence.required or 0)
-    check_reached(tables)
 
 
-def check_reached(tables: Tables) -> None:
+def check_reached(tables: Tables, actions: list[Action]) -> None:
     """Lower the fence once the revision that was heard of is in force."""
     required = tables.fence.required
     if required is not None and tables.revision >= required:
-        lower(tables)
+        lower(tables, "peer", actions)
 
 
 def hear_platform(tables: Tables) -> None:
-    """Take the platform's answer, which was asked for since the jump."""
-    if tables.fence.until is not None:
-        lower(tables)
+    """Note that the platform answered since the jump.
+
+    Its reads may be stale, so a peer's word is waited for some time first.
+    """
+    tables.fence.platform_answered = tables.fence.until is not None
 
 
-def lower(tables: Tables) -> None:
+def lower(tables: Tables, heard: str, actions: list[Action]) -> None:
     """Forward again."""
+    actions.append(Log(FENCE_LOWERED.number, {"heard": heard}))
     tables.fence.until = None
     tables.fence.required = None
     tables.fence.sequences.clear()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,6 +4,7 @@
 
 import itertools
 
+import anyio
 import pytest
 
 from citronspring.entities import (
@@ -15,6 +16,7 @@
     Snapshot,
     Target,
 )
+from citronspring.errors import PlatformUnavailableError
 
 ZONES = ("drukkerij", "zetterij", "pakhuis")
 
@@ -54,6 +56,34 @@
     )
 
 
+class FixedSource:
+    """A configuration that never changes, or a platform that is down."""
+
+    def __init__(self, snapshot: Snapshot | None) -> None:
+        self.snapshot = snapshot
+        self.confirmed: list[tuple[str, int]] = []
+
+    async def read_snapshot(self) -> Snapshot:
+        if self.snapshot is None:
+            raise PlatformUnavailableError("down", "wait")
+        return self.snapshot
+
+    async def read_records(self, after_revision: int) -> tuple[()]:
+        await self.read_snapshot()
+        return ()
+
+    async def watch_head(self, after_revision: int) -> int:
+        snapshot = await self.read_snapshot()
+        if snapshot.revision <= after_revision:
+            await anyio.sleep_forever()
+        return snapshot.revision
+
+    async def confirm_zone(self, zone: str, revision: int) -> int:
+        await self.read_snapshot()
+        self.confirmed.append((zone, revision))
+        return revision
+
+
 @pytest.fixture
 def anyio_backend() -> str:
     """Run asynchronous tests on one backend."""
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -40,6 +40,7 @@
         }
     ],
     "limits": {"leave_seconds": 30.0},
+    "control": {"key": "00" * 32},
     "admin": {"tokens": [{"name": "watch", "role": "read", "env": "TOKEN"}]},
     "logs": {"format": "json"},
 }
@@ -50,6 +51,9 @@
 WRONG = [
     ("host.zoen", "x", "did you mean zone"),
     ("hots", {}, "did you mean host"),
+    ("control", {}, "not on loopback: give all hosts one key"),
+    ("control", {"key": "00", "key_file": "x"}, "either key or key_file"),
+    ("control", {"previous_key": "00"}, "the key in use"),
     ("limits.leave_seconds", "30s", "seconds as a plain number"),
     ("limits.leave_seconds", 30_000, "seconds as a plain number"),
     ("limits.max_flows", "1e6", "valid integer"),
