--- /dev/null
+++ b/tests/test_daemons/test_control.py
@@ -0,0 +1,183 @@
+"""Control socket and platform reader of the host daemon, on real sockets."""
+
+from __future__ import annotations
+
+import random
+import socket
+
+import anyio
+import pytest
+from pydantic import SecretStr
+
+from citronspring.control.envelope import Sealer
+from citronspring.control.messages import Gossip, HostUpdate
+from citronspring.daemons.control import LOOPBACK_KEY, read_keys, wall_clock
+from citronspring.daemons.host import HostDaemon
+from citronspring.daemons.reader import PlatformReader
+from citronspring.entities import HostState, Snapshot
+from citronspring.errors import SettingsError
+from citronspring.messages import RecordsRead, SnapshotRead
+from citronspring.settings import ControlSection
+from citronspring.standins.loopback import Loopback
+from citronspring.tables import Tables
+from tests.conftest import ZONES, FixedSource, make_account
+
+pytestmark = pytest.mark.anyio
+
+
+async def start_hosts(group, sources, first_port):
+    system = Loopback(group, random.Random(1), ZONES, first_port=first_port)
+    sections = system.describe_hosts(len(sources))
+    daemons = []
+    for section, source in zip(sections, sources, strict=True):
+        settings = system.settings_of(section, sections, "http://127.0.0.1:1")
+        daemons.append(HostDaemon.from_settings(settings, source))
+        await group.start(daemons[-1].run)
+    return daemons
+
+
+async def wait_until(condition):
+    with anyio.fail_after(15):
+        while not condition():
+            await anyio.sleep(0.02)
+
+
+async def test_host_takes_its_configuration_from_a_peer_when_the_platform_is_down(
+    snapshot,
+):
+    """The platform goes down and a host is replaced.
+
+    Read from the platform alone, its configuration would be missing and the
+    host would drop every packet. It joins by its peers and copies theirs.
+    """
+    async with anyio.create_task_group() as group:
+        sources = [FixedSource(snapshot), FixedSource(None), FixedSource(None)]
+        daemons = await start_hosts(group, sources, 22_200)
+        await wait_until(
+            lambda: all(daemon.core.tables.revision == 1 for daemon in daemons)
+        )
+        for daemon in daemons:
+            assert set(daemon.core.tables.accounts) == {"bundelpers", "inzendloket"}
+            counters = daemon.core.tables.counters
+            assert counters["control.bytes_sent"] > 0
+        await wait_until(lambda: (ZONES[0], 1) in sources[0].confirmed)
+        group.cancel_scope.cancel()
+
+
+async def test_forged_and_replayed_datagrams_change_nothing_and_are_counted(snapshot):
+    """Somebody on the network says, in datagrams of its own, that a host leaves.
+
+    Believed, its flows would be moved and the host left idle. Under another key
+    the digest is wrong; a copy of a genuine datagram is counted as replayed.
+    """
+    async with anyio.create_task_group() as group:
+        sources = [FixedSource(snapshot), FixedSource(snapshot)]
+        daemons = await start_hosts(group, sources, 22_300)
+        tables = daemons[0].core.tables
+        address = (tables.me.host.control.ip, tables.me.host.control.port)
+        leaving = Gossip(1, (HostUpdate("host-1", HostState.LEAVING, 1 << 50),))
+        forged = Sealer("host-1", bytes(range(16)), 1).seal(
+            leaving, "host-0", wall_clock()
+        )
+        genuine = Sealer("host-9", LOOPBACK_KEY, 1).seal(
+            Gossip(1), "host-0", wall_clock()
+        )
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            for datagram in (forged, genuine, genuine, b"", b"noise" * 2000):
+                sender.sendto(datagram, address)
+        counters = tables.counters
+        await wait_until(lambda: counters["control.rejected.oversized"] == 1)
+        assert counters["control.rejected.forged"] == 1
+        assert counters["control.rejected.replayed"] == 1
+        assert counters["control.unknown-sender"] == 1
+        assert tables.hosts["host-1"].state is not HostState.LEAVING
+        group.cancel_scope.cancel()
+
+
+class ScriptedSource(FixedSource):
+    """A platform that fails so many times first."""
+
+    failures = 2
+
+    async def read_snapshot(self):
+        if self.failures:
+            self.failures -= 1
+            await FixedSource(None).read_snapshot()
+        return await super().read_snapshot()
+
+
+class RecordingCore:
+    """Keeps what it is told."""
+
+    def __init__(self):
+        self.tables = Tables("host-0", ZONES[0], "entry", 1)
+        self.events = []
+
+    def receive(self, event, now):
+        self.events.append(event)
+        return []
+
+
+def make_reader(source):
+    core = RecordingCore()
+    return core, PlatformReader(core, source, anyio.current_time, lambda actions: None)
+
+
+async def test_failed_read_is_tried_again_at_a_stored_time(snapshot):
+    """The platform fails twice and then answers.
+
+    The reader must not end with the first error, nor call without pause.
+    """
+    core, reader = make_reader(ScriptedSource(snapshot))
+    started = anyio.current_time()
+    async with anyio.create_task_group() as group:
+        group.start_soon(reader.read_on_request)
+        reader.request()
+        await wait_until(lambda: core.events)
+        group.cancel_scope.cancel()
+    assert core.events == [SnapshotRead(snapshot)]
+    assert reader.retry_at - started >= 1.5
+
+
+async def test_read_from_before_a_freeze_is_not_taken_for_current(snapshot):
+    """The process stands still while a read is under way.
+
+    Its answer tells what was, and would let packets that waited through.
+    """
+    core, reader = make_reader(FixedSource(snapshot))
+    core.tables.revision = 1
+    event = reader.read_event
+
+    async def frozen_meanwhile(revision):
+        core.tables.counters["fence.raised"] += 1
+        return await event(revision)
+
+    reader.read_event = frozen_meanwhile
+    assert not await reader.attempt(reader.read)
+    assert core.events == []
+    reader.read_event = event
+    assert await reader.attempt(reader.read)
+    assert core.events == [RecordsRead(())]
+
+
+async def test_records_that_are_forgotten_are_replaced_by_a_snapshot():
+    class Forgetful(FixedSource):
+        async def read_records(self, after_revision):
+            return None
+
+    newest = Snapshot(400, (make_account(),))
+    _, reader = make_reader(Forgetful(newest))
+    assert await reader.read_event(5) == SnapshotRead(newest)
+
+
+async def test_keys_are_read_from_settings_and_files(tmp_path):
+    path = tmp_path / "key"
+    path.write_text("ab" * 32 + "\n")
+    section = ControlSection(key_file=str(path), previous_key=SecretStr("cd" * 16))
+    assert read_keys(section) == (b"\xab" * 32, b"\xcd" * 16)
+    for bad in ("00" * 8, "00" * 65, "secret"):
+        with pytest.raises(SettingsError) as caught:
+            read_keys(ControlSection(key=SecretStr(bad)))
+        assert bad not in str(caught.value)
+    with pytest.raises(SettingsError):
+        read_keys(ControlSection(key_file=str(tmp_path / "none")))
