--- a/benchmarks/world.py
+++ b/benchmarks/world.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
+from citronspring.balancer import Balancer
 from citronspring.entities import (
     Account,
     Endpoint,
@@ -24,7 +25,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from citronspring.balancer import Balancer
     from citronspring.standins.service import Request
 
 ZONES = ("drukkerij", "zetterij", "pakhuis")
@@ -121,12 +121,9 @@
         return [target for target in self.targets if not target.leaving]
 
     def start_core(self, host: Host) -> Balancer:
-        """Make the core of a host that knows what is true now."""
+        """Make the core of a host that has read what is true now."""
         peers = [peer for peer in self.live.values() if peer is not host]
         core = self.make_core(host, peers)
-        for host_id, row in core.tables.hosts.items():
-            peer = self.network.hosts.get(host_id)
-            row.revision = 0 if peer is None else peer.tables.revision
         core.receive(SnapshotRead(self.snapshot), self.network.now)
         self.cores.append(core)
         return core
@@ -144,6 +141,11 @@
 
     # Views --------------------------------------------------------------------
 
+    def tell_membership(self, learn: Callable[[Balancer], None]) -> None:
+        """Let the hosts of a baseline learn of a host; the balancer's find out."""
+        if self.make_core != Balancer.from_config:
+            self.tell_hosts(learn)
+
     def tell_hosts(self, learn: Callable[[Balancer], None]) -> None:
         """Let every host of now learn something, each at a moment of its own."""
         for host_id in list(self.network.hosts):
@@ -157,7 +159,7 @@
             if core is not None:
                 learn(core)
 
-        self.network.after(self.rng.uniform(0.0, VIEW_LAG), arrive)
+        self.network.after(self.network.rng.uniform(0.0, VIEW_LAG), arrive)
 
     def publish(self, targets: tuple[Target, ...]) -> None:
         """Commit a configuration; hosts read it up to `VIEW_LAG` apart."""
@@ -166,18 +168,6 @@
 
         def learn(core: Balancer) -> None:
             core.receive(SnapshotRead(snapshot), self.network.now)
-            self.tell_revision(core)
-
-        self.tell_hosts(learn)
-
-    def tell_revision(self, core: Balancer) -> None:
-        """Let the other hosts learn which revision a host has applied."""
-        host_id, revision = core.tables.host_id, core.tables.revision
-
-        def learn(peer: Balancer) -> None:
-            row = peer.tables.hosts.get(host_id)
-            if row is not None:
-                row.revision = max(row.revision, revision)
 
         self.tell_hosts(learn)
 
@@ -188,7 +178,7 @@
         host_id = self.rng.choice(list(self.live))
         del self.live[host_id]
         self.network.kill_host(host_id)
-        self.tell_hosts(lambda core: forget_host(core, host_id))
+        self.tell_membership(lambda core: forget_host(core, host_id))
         self.network.after(FABRIC_LAG, lambda: self.stop_spraying(host_id))
 
     def join_host(self) -> None:
@@ -199,12 +189,11 @@
         core = self.start_core(host)
         self.network.add_host(core)
         self.network.sprayed.remove(host.host_id)
-        revision = core.tables.revision
 
         def learn(peer: Balancer) -> None:
-            peer.tables.hosts.setdefault(host.host_id, HostRow(host, revision=revision))
+            peer.tables.hosts.setdefault(host.host_id, HostRow(host))
 
-        self.tell_hosts(learn)
+        self.tell_membership(learn)
         spray = self.network.sprayed
         self.network.after(FABRIC_LAG, lambda: spray.append(host.host_id))
 
@@ -214,7 +203,7 @@
         del self.live[host_id]
         now = self.network.now
         self.network.hosts[host_id].receive(LeaveRequested(now + LEAVE_TIME), now)
-        self.tell_hosts(lambda core: note_leaving(core, host_id))
+        self.tell_membership(lambda core: note_leaving(core, host_id))
         self.network.after(FABRIC_LAG, lambda: self.stop_spraying(host_id))
         self.network.after(1.0, lambda: self.await_stop(host_id))
 
@@ -224,7 +213,7 @@
             self.network.after(0.1, lambda: self.await_stop(host_id))
             return
         self.network.kill_host(host_id)
-        self.tell_hosts(lambda core: forget_host(core, host_id))
+        self.tell_membership(lambda core: forget_host(core, host_id))
 
     def stop_spraying(self, host_id: str) -> None:
         """Take a host from the fabric's list."""
