--- a/citronspring/systems/hints.py
+++ b/citronspring/systems/hints.py
@@ -77,8 +77,10 @@
     """Keep a hint, if it comes from the owner this host knows."""
     target = tables.targets.get(event.target_id or "")
     owner = tables.ring.pair(event.flow)[0]
-    if target is None or owner != event.sender or len(tables.hints) >= MAX_HINTS:
+    if target is None or owner != event.sender:
         return
     # Taken out first, so that hints stand in the order in which they run out.
     tables.hints.pop(event.flow, None)
+    if len(tables.hints) >= MAX_HINTS:
+        return
     tables.hints[event.flow] = HintRow(target, now + HINT_LIFETIME, tables.ring.version)
--- /dev/null
+++ b/tests/test_systems/test_openings.py
@@ -0,0 +1,339 @@
+"""Openings: doubled placement, retries, refusals, port reuse, datagrams."""
+
+from __future__ import annotations
+
+import pytest
+
+from citronspring.messages import (
+    ACK,
+    RST,
+    DropReason,
+    RefusalReason,
+    RelayKind,
+    RelayReceived,
+    ResetTarget,
+)
+from citronspring.systems.binding import TIME_WAIT
+from citronspring.systems.openings import ATTEMPT_TIMEOUT, expire_openings
+from citronspring.tables import FlowState
+from tests.test_systems import driver
+
+#: Initial number of a target that another host placed the SYN on.
+OTHER_SEQ = driver.TARGET_SEQ + (1 << 28)
+
+
+def shed(flow, target_id):
+    """Return a target's reset of a SYN."""
+    return driver.from_target(
+        flow, target_id, RST | ACK, seq=0, ack=driver.CALLER_SEQ + 1
+    )
+
+
+def refused_datagram(flow, target_id):
+    event = driver.from_target(flow, target_id, 0)
+    event.packet.unreachable = True
+    return event
+
+
+def open_count(core):
+    return core.tables.accounts["bundelpers"].open_flows
+
+
+def start_opening(core, flow, now=0.0):
+    [action] = core.receive(driver.syn(flow), now)
+    return action.target_id
+
+
+@pytest.mark.parametrize("answered", [False, True])
+def test_caller_took_the_answer_of_another_placement(snapshot, answered):
+    """A poet's upload goes to the target whose answer the poet got.
+
+    Two hosts with different views each placed the SYN, and the caller took the
+    answer of the other's target. This owner sees an acknowledgement of numbers its
+    own target never sent. It searches, without asking for the copy of its error;
+    the wrong target's reset and SYN-ACK reach nobody.
+    """
+    core = driver.make_core(snapshot, hosts=2)
+    flow = driver.owned_flow(core)
+    wrong = start_opening(core, flow)
+    if answered:
+        core.receive(driver.syn_ack(flow, wrong), 0.0)
+    data = driver.from_caller(flow, ack=OTHER_SEQ + 1, data=b"poem")
+    actions = core.receive(data, 0.1)
+    [first] = driver.sent_to(actions)
+    late = core.receive(driver.syn_ack(flow, wrong), 0.1)
+    assert driver.kinds(late) == ["Drop"]
+    target_id = first
+    while target_id != "bundelpers-4" or first == "bundelpers-4":
+        actions = core.receive(driver.reset(flow, target_id, seq=OTHER_SEQ + 1), 0.1)
+        [target_id] = driver.sent_to(actions)
+        first = None
+    answer = driver.from_target(flow, target_id, seq=OTHER_SEQ + 1)
+    assert driver.kinds(core.receive(answer, 0.1)) == ["SendToCaller"]
+    assert core.tables.flows.rows[flow].target.target.target_id == target_id
+
+
+def test_reset_for_another_placement_does_not_reach_the_caller(snapshot):
+    """An upload is not reset by a target it was never on.
+
+    The caller's first packet, meant for the target another host chose, came to
+    this host's target by a host with an older view. That target answers with a
+    reset whose number fits the caller's connection exactly.
+    """
+    for stage in (FlowState.OPENING, FlowState.ANSWERED):
+        core = driver.make_core(snapshot)
+        flow = driver.flow_to()
+        wrong = start_opening(core, flow)
+        if stage == FlowState.ANSWERED:
+            core.receive(driver.syn_ack(flow, wrong), 0.0)
+        event = driver.from_target(flow, wrong, RST, seq=OTHER_SEQ + 1, ack=0)
+        [drop] = core.receive(event, 0.1)
+        assert drop.reason is DropReason.SWALLOWED_RESET
+        assert core.tables.flows.rows[flow].state == stage
+
+
+def test_target_that_resets_its_own_answer_is_believed(snapshot):
+    core = driver.make_core(snapshot)
+    flow = driver.flow_to()
+    target_id = start_opening(core, flow)
+    core.receive(driver.syn_ack(flow, target_id), 0.0)
+    actions = core.receive(driver.reset(flow, target_id), 0.1)
+    assert driver.kinds(actions) == ["SendToCaller"]
+
+
+def test_owner_learns_of_an_opening_from_its_answer(snapshot):
+    """A page opens at once while hosts disagree about its owner.
+
+    Another host placed the SYN, and the target's answer comes here. To drop it
+    would cost the caller a timeout and place the SYN on a second target.
+    """
+    core = driver.make_core(snapshot)
+    flow = driver.flow_to()
+    answer = core.receive(driver.syn_ack(flow, "bundelpers-3"), 0.0)
+    assert driver.kinds(answer) == ["SendToCaller"]
+    actions = core.receive(driver.from_caller(flow), 0.1)
+    assert driver.sent_to(actions) == ["bundelpers-3"]
+
+
+def test_repeated_syn_is_one_flow(snapshot):
+    core = driver.make_core(snapshot)
+    flow = driver.flow_to()
+    target_id = start_opening(core, flow)
+    for stage in ("opening", "answered", "established"):
+        assert driver.sent_to(core.receive(driver.syn(flow), 0.2)) == [target_id], stage
+        assert open_count(core) == 1
+        core.receive(driver.syn_ack(flow, target_id), 0.3)
+        if stage == "answered":
+            core.receive(driver.from_caller(flow), 0.4)
+
+
+def test_reused_port_gets_no_answer_of_the_flow_before(snapshot):
+    """A clerk who reuses a port at once never sees another request's answer.
+
+    The first flow was closed; a late answer of its target comes after the second
+    flow of the same tuple was opened on another. Only the target that the tuple is
+    bound to now may answer; before that, the closed flow's own target still may.
+    """
+    core = driver.make_core(snapshot)
+    flow = driver.flow_to()
+    old = driver.open_flow(core, flow)
+    core.receive(driver.fin(flow), 1.0)
+    core.receive(driver.fin(flow, old), 1.0)
+    late = driver.from_target(flow, old, data=b"old")
+    assert driver.kinds(core.receive(late, 1.1)) == ["SendToCaller"]
+    assert driver.sent_to(core.receive(driver.from_caller(flow), 1.1)) == [old]
+    other = next(
+        row for row in core.tables.targets.values() if row.target.target_id != old
+    )
+    for row in core.tables.targets.values():
+        row.flows = 0 if row is other else 5
+    new = start_opening(core, flow, 1.2)
+    assert new == other.target.target_id
+    [drop] = core.receive(late, 1.3)
+    assert drop.reason is DropReason.STALE_ANSWER
+
+
+def test_shedding_targets_are_tried_and_then_the_caller_is_refused(snapshot):
+    """A bookseller is told at once, and truly, that nothing was run.
+
+    Every target sheds the SYN with a reset, while their endpoints say healthy. Each
+    is tried once; then the refusal goes out in the same instant, with the time from
+    which to try again, and not after a timeout.
+    """
+    core = driver.make_core(snapshot)
+    flow = driver.flow_to()
+    tried = [start_opening(core, flow)]
+    actions = core.receive(shed(flow, tried[-1]), 0.01)
+    while sent := driver.sent_to(actions):
+        tried += sent
+        actions = core.receive(shed(flow, tried[-1]), 0.01)
+    assert sorted(tried) == sorted(row.target.target_id for row in targets_of(core))
+    [refusal] = actions
+    assert refusal.reason is RefusalReason.NO_HEALTHY_TARGET
+    assert refusal.retry_at > 0.01
+    assert flow not in core.tables.flows.rows
+    assert (open_count(core), core.tables.openings) == (0, {})
+
+
+def targets_of(core):
+    return core.tables.accounts["bundelpers"].targets
+
+
+def test_silent_targets_are_reset_before_the_next_is_tried(snapshot):
+    """A caller that was refused has no connection anywhere.
+
+    Targets take the SYN and say nothing. Each gets a reset before another is tried
+    or the caller refused, so that a SYN that was only late opens nothing that
+    nobody will use; and the refusal comes within the account's opening timeout.
+    """
+    core = driver.make_core(snapshot, hosts=2)
+    flow = driver.owned_flow(core)
+    current = start_opening(core, flow)
+    now, refused = 0.0, False
+    while not refused:
+        now += ATTEMPT_TIMEOUT
+        actions = []
+        expire_openings(core.tables, now, actions)
+        assert isinstance(actions[0], ResetTarget)
+        assert actions[0].target_id == current
+        refused = driver.kinds(actions[1:]) == ["Refuse"]
+        if not refused:
+            send, copy = actions[1:]
+            assert (copy.kind, copy.target_id) == (RelayKind.BIND, send.target_id)
+            current = send.target_id
+    assert now <= 5.0 + ATTEMPT_TIMEOUT
+    assert open_count(core) == 0
+
+
+@pytest.mark.parametrize("confirm", [False, True])
+def test_no_refusal_once_the_caller_was_answered(snapshot, confirm):
+    """A clerk whose correction may have run is never told that it was not.
+
+    After the caller has confirmed the target's answer its data may have run; what
+    ends such a flow is the target's own reset, and time alone refuses nothing.
+    """
+    core = driver.make_core(snapshot)
+    flow = driver.flow_to()
+    target_id = start_opening(core, flow)
+    core.receive(driver.syn_ack(flow, target_id), 0.0)
+    if confirm:
+        core.receive(driver.from_caller(flow, data=b"correction"), 0.1)
+        actions = core.receive(driver.reset(flow, target_id), 0.2)
+        assert driver.kinds(actions) == ["SendToCaller"]
+    for now in (1.0, 3.0, 5.0, 7.0):
+        assert not {"Refuse", "ResetTarget"} & set(driver.kinds(core.tick(now)))
+
+
+def test_unconfirmed_opening_leaves_nothing(snapshot):
+    """A flood of forged SYNs does not use up an account's connections.
+
+    The targets answer, and nobody confirms. Had the rows the idle time of an hour,
+    the account would be full, and its real callers refused.
+    """
+    core = driver.make_core(snapshot)
+    for port in range(40_000, 40_050):
+        flow = driver.flow_to(port=port)
+        core.receive(driver.syn_ack(flow, start_opening(core, flow)), 0.0)
+    assert open_count(core) == 50
+    core.tick(2.5)
+    core.tick(5.0)
+    assert (open_count(core), len(core.tables.flows.rows)) == (0, 0)
+
+
+def test_host_that_is_not_the_owner_places_nothing(snapshot):
+    """An opening is placed once while views differ.
+
+    Another host still takes this one for the owner. To place the SYN here would
+    place it twice, for the answer and all that follows go to the new owner.
+    """
+    core = driver.make_core(snapshot, hosts=3)
+    flow = driver.owned_flow(core, owner=False)
+    [ask] = core.receive(driver.relayed(driver.syn(flow)), 0.0)
+    assert (ask.kind, ask.host_id) == (RelayKind.ASK, core.tables.ring.pair(flow)[0])
+    assert (open_count(core), core.tables.openings) == (0, {})
+    owner = driver.make_core(snapshot, hosts=3, index=int(ask.host_id[-1]))
+    event = driver.relayed(driver.syn(flow), "host-0", RelayKind.ASK)
+    [proposal] = owner.receive(event, 0.0)
+    assert proposal.kind is RelayKind.PROPOSE
+    assert open_count(owner) == 1
+
+
+# Datagrams ---------------------------------------------------------------------
+
+
+def datagram(flow):
+    return driver.from_caller(flow, 0, seq=0, ack=0, data=b"query")
+
+
+def test_datagram_flow_goes_to_the_same_target_from_any_host(snapshot):
+    """An answer to a datagram comes from the target that knows the conversation.
+
+    Nothing like a reset tells where such a flow lives. Hosts that never saw it
+    still agree on its first-ranked target while load is even.
+    """
+    for port in range(40_000, 40_020):
+        flow = driver.flow_to(port=port, protocol=17)
+        cores = [driver.make_core(snapshot, hosts=3, index=n) for n in range(3)]
+        placed = set()
+        for core in cores:
+            core.tables.ring.update([core.tables.host_id])
+            placed.add(*driver.sent_to(core.receive(datagram(flow), 0.0)))
+        assert len(placed) == 1
+
+
+def test_copy_of_a_datagram_flow_prevails(snapshot):
+    """A datagram conversation goes on although its owner was replaced.
+
+    The second-ranked host holds a copy; the new owner, which knows nothing, places
+    the flow elsewhere. The copy's target gets the packet, and the owner is told.
+    """
+    second = driver.make_core(snapshot, hosts=2, index=1)
+    flow = driver.owned_flow(second, owner=False)
+    flow = bytes([17]) + flow[1:]
+    event = driver.relayed(datagram(flow), "host-0", RelayKind.PROPOSE, "bundelpers-1")
+    second.receive(event, 0.0)
+    event = driver.relayed(datagram(flow), "host-0", RelayKind.PROPOSE, "bundelpers-2")
+    send, bind = second.receive(event, 1.0)
+    assert send.target_id == bind.target_id == "bundelpers-1"
+    owner = driver.make_core(snapshot, hosts=2, index=0)
+    if owner.tables.ring.pair(flow)[0] == "host-0":
+        [proposal] = owner.receive(datagram(flow), 1.0)
+        answer = RelayReceived(RelayKind.BIND, "host-1", flow, target_id="bundelpers-1")
+        owner.receive(answer, 1.0)
+        sent = driver.sent_to(owner.receive(datagram(flow), 1.1))
+        assert sent == ["bundelpers-1"]
+
+
+def test_refused_datagram_is_offered_to_one_other_target(snapshot):
+    """A query is not run twice, and its refusal is not hidden.
+
+    A target that refuses a datagram (ICMP port unreachable) ran nothing, so one
+    other is tried. Its refusal, or one after further datagrams were sent, reaches
+    the caller: any of those may have run.
+    """
+    core = driver.make_core(snapshot)
+    flow = driver.flow_to(protocol=17)
+    [first] = driver.sent_to(core.receive(datagram(flow), 0.0))
+    [second] = driver.sent_to(core.receive(refused_datagram(flow, first), 0.01))
+    assert second != first
+    actions = core.receive(refused_datagram(flow, second), 0.02)
+    assert driver.kinds(actions) == ["SendToCaller"]
+
+    flow = driver.flow_to(port=40_001, protocol=17)
+    [first] = driver.sent_to(core.receive(datagram(flow), 0.0))
+    core.receive(datagram(flow), 0.01)
+    actions = core.receive(refused_datagram(flow, first), 0.02)
+    assert driver.kinds(actions) == ["SendToCaller"]
+
+
+def test_closed_tuple_is_forgotten_after_time_wait(snapshot):
+    core = driver.make_core(snapshot)
+    flow = driver.flow_to()
+    target_id = driver.open_flow(core, flow)
+    core.receive(driver.from_caller(flow, RST), 1.0)
+    core.receive(driver.from_target(flow, target_id), 1.0)
+    for second in range(1, int(TIME_WAIT) + 8):
+        core.tick(float(second))
+        if second < TIME_WAIT:
+            assert flow in core.tables.flows.rows
+    assert flow not in core.tables.flows.rows
--- /dev/null
+++ b/tests/test_systems/test_routing.py
@@ -0,0 +1,184 @@
+"""Routing: one relay, foreign sources, unknown services, hints, IPv6 keys."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from citronspring.entities import HostState, Protocol, ServiceAddress, Snapshot
+from citronspring.messages import ACK, FIN, RST, SYN, Relay, RelayKind, RelayReceived
+from citronspring.rendezvous import flow_key
+from citronspring.systems import hints
+from tests.test_systems import driver
+
+
+def hinted_core(snapshot, now=0.0):
+    """Return a core that holds a hint, and the hinted flow of another owner."""
+    core = driver.make_core(snapshot, hosts=3)
+    flow = driver.owned_flow(core, owner=False)
+    hint(core, flow, now)
+    return core, flow
+
+
+def hint(core, flow, now, target_id="bundelpers-2"):
+    owner = core.tables.ring.pair(flow)[0]
+    event = RelayReceived(RelayKind.HINT, owner, flow, target_id=target_id)
+    core.receive(event, now)
+
+
+def test_packet_is_relayed_to_its_owner_once(snapshot):
+    """A page loads although hosts differ about who owns its flow.
+
+    One host relays a packet to the owner it knows. That host, whose view is newer,
+    passes it on to the next one as a question, and a question goes no further: no
+    two views can send a packet round in circles.
+    """
+    core = driver.make_core(snapshot, hosts=3)
+    flow = driver.owned_flow(core, owner=False)
+    [first] = core.receive(driver.from_caller(flow), 0.0)
+    assert first.kind is RelayKind.TO_OWNER
+    assert first.host_id == core.tables.ring.pair(flow)[0]
+    for event in (driver.from_caller(flow), driver.syn(flow)):
+        [second] = core.receive(driver.relayed(event), 0.0)
+        assert (second.kind, second.host_id) == (RelayKind.ASK, first.host_id)
+        event = driver.relayed(event, kind=RelayKind.ASK)
+        [third] = core.receive(event, 0.0)
+        assert (third.kind, third.packet) == (RelayKind.UNKNOWN, None)
+    assert not core.tables.flows.rows
+
+
+@pytest.mark.parametrize("source", ["inzendloket-0", "nobody"])
+@pytest.mark.parametrize("relay", [False, True])
+def test_answer_of_a_foreign_source_is_dropped(snapshot, source, relay):
+    """A reader of previews never sees bytes of the upload service.
+
+    A target of another client account answers for a flow of this one, directly or
+    through another host. Only targets of the account that has the service address
+    may speak for it.
+    """
+    core = driver.make_core(snapshot)
+    flow = driver.flow_to()
+    driver.open_flow(core, flow)
+    event = driver.from_target(flow, source, data=b"x")
+    if relay:
+        event = driver.relayed(event)
+    actions = core.receive(event, 1.0)
+    assert driver.kinds(actions) == ["Drop"]
+
+
+@pytest.mark.parametrize(
+    ("flags", "protocol", "kind"),
+    [(SYN, 6, "Refuse"), (ACK, 6, "Drop"), (RST, 6, "Drop"), (0, 17, "Drop")],
+)
+def test_unknown_service_address(snapshot, flags, protocol, kind):
+    core = driver.make_core(snapshot)
+    flow = driver.flow_to("192.0.2.99", protocol=protocol)
+    actions = core.receive(driver.from_caller(flow, flags), 0.0)
+    assert driver.kinds(actions) == [kind]
+    assert not core.tables.flows.rows
+
+
+def test_hint_is_offered_for_an_established_flow(snapshot):
+    core = driver.make_core(snapshot, hosts=2)
+    flow = driver.owned_flow(core)
+    target_id = driver.open_flow(core, flow)
+    event = driver.relayed(driver.from_caller(flow))
+    offered = [core.receive(event, 1.0) for _ in range(hints.HINT_EVERY)]
+    assert [len(actions) for actions in offered[:-1]] == [1] * (hints.HINT_EVERY - 1)
+    [_, relay] = offered[-1]
+    assert relay == Relay(RelayKind.HINT, "host-1", flow, target_id=target_id)
+
+
+@pytest.mark.parametrize(
+    ("flags", "from_caller", "kind"),
+    [
+        (ACK, True, "SendToTarget"),
+        (ACK, False, "SendToCaller"),
+        (SYN, True, "Relay"),
+        (SYN | ACK, False, "Relay"),
+        (FIN | ACK, True, "Relay"),
+        (FIN | ACK, False, "Relay"),
+        (RST, True, "Relay"),
+        (RST, False, "Relay"),
+    ],
+)
+def test_hint_serves_only_packets_that_change_no_state(
+    snapshot, flags, from_caller, kind
+):
+    """A closed preview does not linger, and a new one is placed by its owner.
+
+    A packet that opens or ends a flow passes the owner, hint or not, and what
+    follows it at this host does so too.
+    """
+    core, flow = hinted_core(snapshot)
+    event = driver.from_caller(flow, flags)
+    if not from_caller:
+        event = driver.from_target(flow, "bundelpers-2", flags)
+    assert driver.kinds(core.receive(event, 1.0)) == [kind]
+    assert (flow in core.tables.hints) == (flags == ACK)
+
+
+def test_hint_ends(snapshot):
+    """A stream is not led astray by what an earlier view of the hosts said.
+
+    A hint holds for seconds, only under the ring it was made under (even if that
+    comes back, for another host may have rebound the flow in between), only for
+    its target, and only from the flow's owner.
+    """
+    core, flow = hinted_core(snapshot)
+    kinds = driver.kinds(core.receive(driver.from_caller(flow), hints.HINT_LIFETIME))
+    assert kinds == ["Relay"]
+
+    core, flow = hinted_core(snapshot)
+    row = core.tables.hosts["host-2"]
+    for state in (HostState.DEAD, HostState.ALIVE):
+        row.state = state
+        core.tick(0.1)
+    assert driver.kinds(core.receive(driver.from_caller(flow), 0.2)) == ["Relay"]
+
+    core, flow = hinted_core(snapshot)
+    answer = driver.from_target(flow, "bundelpers-3", data=b"x")
+    assert driver.kinds(core.receive(answer, 0.1)) == ["Relay"]
+
+    core = driver.make_core(snapshot, hosts=3)
+    flow = driver.owned_flow(core, owner=False)
+    core.receive(RelayReceived(RelayKind.HINT, "host-0", flow, target_id="x"), 0.0)
+    other = next(
+        name for name in core.tables.hosts if name != core.tables.ring.pair(flow)[0]
+    )
+    event = RelayReceived(RelayKind.HINT, other, flow, target_id="bundelpers-2")
+    core.receive(event, 0.0)
+    assert not core.tables.hints
+
+
+def test_hints_are_bounded_and_expire_behind_a_renewed_one(snapshot, monkeypatch):
+    """Long streams keep their short way out while one of them never ends.
+
+    Hints are dropped oldest first. One that was renewed again and again stood at
+    the head for ever, and those behind it filled the table.
+    """
+    monkeypatch.setattr(hints, "MAX_HINTS", 3)
+    core, first = hinted_core(snapshot)
+    flows = [
+        driver.owned_flow(core, owner=False, start=41_000 + 500 * n) for n in range(3)
+    ]
+    for flow in flows:
+        hint(core, flow, 0.0)
+    assert len(core.tables.hints) == 3
+    hint(core, first, 4.0)
+    core.tick(hints.HINT_LIFETIME)
+    assert list(core.tables.hints) == [first]
+
+
+def test_flow_over_ipv6_is_kept(snapshot):
+    """A core takes IPv6 keys as they are; only the carrier must learn to read them."""
+    address = ServiceAddress("2001:db8::1", 443, Protocol.TCP)
+    account = replace(snapshot.accounts[0], addresses=(address,))
+    core = driver.make_core(Snapshot(1, (account,)))
+    flow = flow_key(6, "2001:db8::1", 443, "2001:db8:ffff::7", 40_000)
+    target_id = driver.open_flow(core, flow)
+    actions = core.receive(driver.from_caller(flow, data=b"x"), 1.0)
+    assert driver.sent_to(actions) == [target_id]
+    [send] = core.receive(driver.from_target(flow, target_id, data=b"y"), 1.0)
+    assert send.packet.flow == flow
