Reset abandoned openings so that no established flow can be cut

A host whose view lags resets the target of a SYN it saw no answer to, while the new owner may have completed that very connection. The reset bore the exact next number, so a caller that waits for the target to speak first lost its connection (the test failed with CLOSED before the change). It now lies 2,047 bytes into the window: a half-open flow drops, an open one answers with a challenge.

--- a/citronspring/standins/network.py
+++ b/citronspring/standins/network.py
@@ -29,6 +29,7 @@
     SendToTarget,
     Stopped,
 )
+from citronspring.packets import reset_seq
 from citronspring.standins.stacks import CallerStack, TargetStack
 from citronspring.standins.tcp import Segment
 
@@ -222,7 +223,7 @@
                 self.refuse(host_id, action)
             case ResetTarget():
                 opening = action.packet
-                reset = Segment(RST, (opening.seq + 1) & 0xFFFFFFFF, 0)
+                reset = Segment(RST, reset_seq(opening), 0)
                 packet = packet_of(opening.flow, reset, from_caller=True)
                 self.to_target(host_id, action.target_id, packet)
             case SendControl():
--- a/citronspring/standins/tcp.py
+++ b/citronspring/standins/tcp.py
@@ -20,6 +20,9 @@
 #: Bytes sent ahead of the other side's acknowledgement.
 SEND_WINDOW = 32 * SEGMENT_SIZE
 
+#: Bytes the other side may send ahead.
+RECEIVE_WINDOW = 65535
+
 #: First and longest time until a segment is sent again, seconds.
 FIRST_TIMEOUT = 0.3
 LONGEST_TIMEOUT = 2.0
@@ -186,7 +189,8 @@
     def receive_in_syn_received(self, segment: Segment, now: float) -> None:
         """Wait for the caller's acknowledgement of our SYN-ACK."""
         if segment.flags & RST:
-            if segment.seq == self.expected:
+            # As Linux does: a half-open connection drops on any number in its window.
+            if 0 <= ahead(segment.seq, self.expected) < RECEIVE_WINDOW:
                 self.end(Ending.RESET)
         elif segment.flags & SYN:
             self.emit(SYN | ACK, self.unacknowledged)
