Enforce limits by owners' parts and keep new flows off failing targets

Limits: each owner holds a whole-numbered part of an account's and a target's connections and a uniform share of the new-flow rate; the parts add up to the limit. An owner may borrow connections that peers promise to leave unused. Lent connections now come back only when the borrower tells that it is within its own part. Flow rows, walks and openings are bounded with a part for each account: one may hold twice what is free.

Health: three openings in a row that fail eject a target, for 2 to 60 s, doubling; it returns by one trial flow at a time, then ramps up. Probes weigh, and take a target out only when both probers agree and no opening succeeded since. Beyond half ejected, the healthy ones go first up to four times the mean load, then all.

Also: callers that never confirm held a row for the idle timeout (an hour); now 10 s beyond the opening timeout. Refusals for want of a target name when the next one is tried again.

--- a/citronspring/balancer.py
+++ b/citronspring/balancer.py
@@ -9,12 +9,20 @@
     HostListRead,
     LeaveRequested,
     PacketReceived,
+    ProbeResult,
     RecordsRead,
     RelayReceived,
     SnapshotRead,
+    TargetUnreachable,
 )
 from citronspring.systems.drain import check_leaving, request_leave
 from citronspring.systems.expiry import expire_flows, expire_hints
+from citronspring.systems.health import (
+    request_probes,
+    take_probe_result,
+    target_unreachable,
+)
+from citronspring.systems.idle import put_idle_to_sleep
 from citronspring.systems.openings import expire_openings
 from citronspring.systems.ownership import renew_ring
 from citronspring.systems.revisions import apply_records, apply_snapshot
@@ -86,6 +94,10 @@
                 apply_snapshot(tables, event.snapshot, now)
             case RecordsRead():
                 apply_records(tables, event.records, now)
+            case ProbeResult():
+                take_probe_result(tables, event, now)
+            case TargetUnreachable():
+                target_unreachable(tables, event.target_id, now)
             case HostListRead():
                 pass
             case LeaveRequested():
@@ -101,6 +113,8 @@
         expire_walks(tables, now, actions)
         expire_flows(tables, now)
         expire_hints(tables, now)
+        put_idle_to_sleep(tables, now)
+        request_probes(tables, now, actions)
         check_leaving(tables, now, actions)
         return actions
 
@@ -124,6 +138,7 @@
             },
             "accounts": {
                 account_id: {
+                    "active": account_id in tables.active_accounts,
                     "open_flows": row.open_flows,
                     "targets": {
                         target.target.target_id: {
@@ -131,6 +146,8 @@
                             "remote_flows": target.remote_flows,
                             "leaving": target.target.leaving,
                             "ejected_until": target.ejected_until,
+                            "on_probation": target.on_probation,
+                            "warm_at": target.warm_at,
                         }
                         for target in row.targets
                     },
--- a/citronspring/rendezvous.py
+++ b/citronspring/rendezvous.py
@@ -87,6 +87,8 @@
 
     #: Host ids that may own flows, sorted, so that equal views are equal rings.
     members: tuple[str, ...] = ()
+    #: Index of each member.
+    positions: dict[str, int] = field(default_factory=dict)
     #: Grows with each view, so that what was learnt under an older one shows.
     version: int = 0
     slots: dict[int, tuple[str | None, str | None]] = field(default_factory=dict)
@@ -113,6 +115,7 @@
         if view == self.members:
             return False
         self.members = view
+        self.positions = {name: index for index, name in enumerate(view)}
         self.version += 1
         self.slots = {}
         return True
--- a/citronspring/systems/binding.py
+++ b/citronspring/systems/binding.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from citronspring.systems.idle import wake
 from citronspring.tables import FlowRow, FlowState
 
 if TYPE_CHECKING:
@@ -34,6 +35,7 @@
     """Bind a flow to a target in a state, replacing any earlier binding."""
     release(tables, flow)
     account = target.account
+    wake(tables, account, now)
     deadline = idle_deadline(flow, account, now)
     if state is FlowState.BACKUP and flow[0] == TCP:
         deadline = min(deadline, now + BACKUP_LIFETIME)
--- /dev/null
+++ b/citronspring/systems/health.py
@@ -0,0 +1,219 @@
+"""Health: which targets new flows keep away from, and for how long.
+
+What this owner sees of its own openings comes first; endpoints lag and mislead, so
+what they say only weighs, unless both probers agree and no opening shows otherwise.
+Streams that are open stay where they are, whatever is decided here.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from citronspring.messages import ProbeTarget
+from citronspring.rendezvous import ranked, score
+from citronspring.tables import ProbeNote
+
+if TYPE_CHECKING:
+    from citronspring.messages import Action, ProbeResult
+    from citronspring.tables import AccountRow, Tables, TargetRow
+
+#: Openings in a row without an answer after which a target is ejected.
+FAILURES_TO_EJECT = 3
+
+#: Seconds of the first ejection; each one in a row lasts twice as long.
+EJECTION_TIME = 2.0
+EJECTION_TIME_MAX = 60.0
+
+#: Seconds a target must answer before its earlier ejections are forgiven. A
+#: target that flaps faster is ejected for longer and longer.
+FORGIVENESS_TIME = 60.0
+
+#: Seconds between two trial flows of one owner on a target that was ejected;
+#: longer than an opening attempt, so that one trial is over before the next.
+TRIAL_INTERVAL = 1.0
+
+#: Seconds over which a new or returning target takes a growing share of load.
+RAMP_TIME = 30.0
+
+#: Share of load at which the ramp begins.
+RAMP_START = 0.1
+
+#: Hosts that probe each target.
+PROBERS = 2
+
+#: Seconds between two probes of a target by one prober.
+PROBE_INTERVAL = 2.0
+
+#: Results in a row that a prober needs to change its mind.
+PROBES_TO_CHANGE = 2
+
+#: Seconds a prober's note counts; two probes may be lost.
+NOTE_LIFETIME = 7.0
+
+#: How much a reported load of 1.0 makes a target look fuller. Small, since load
+#: endpoints lag: more would swing flows to and fro between targets.
+LOAD_WEIGHT = 0.1
+
+#: How much fuller a target looks that a prober alone calls unhealthy.
+UNHEALTHY_WEIGHT = 2.0
+
+
+def note_answer(row: TargetRow, now: float) -> None:
+    """A target answered an opening: whatever was held against it is past."""
+    row.failures = 0
+    row.answered_at = now
+    if row.on_probation:
+        row.on_probation = False
+        row.ejected_until = 0.0
+        row.forgiven_at = now + FORGIVENESS_TIME
+        row.warm_at = now + RAMP_TIME
+
+
+def note_failure(tables: Tables, row: TargetRow, now: float) -> None:
+    """A target refused an opening, left it unanswered, or was not reached."""
+    if row.ejected_until > now:
+        return
+    row.failures += 1
+    if row.on_probation or row.failures >= FAILURES_TO_EJECT:
+        eject(tables, row, now)
+
+
+def eject(tables: Tables, row: TargetRow, now: float) -> None:
+    """Keep new flows away from a target, longer each time."""
+    if not row.on_probation and row.forgiven_at <= now:
+        row.ejections = 0
+    row.on_probation = True
+    lasting = min(EJECTION_TIME_MAX, EJECTION_TIME * 2**row.ejections)
+    row.ejections += 1
+    row.failures = 0
+    row.ejected_until = now + lasting
+    row.trial_until = 0.0
+    tables.counters["targets.ejected"] += 1
+
+
+def is_out(tables: Tables, row: TargetRow, now: float) -> bool:
+    """Whether new flows keep away from the target, as long as others are left.
+
+    An ejected target is tried again by one flow at a time: were all let in at
+    once, every caller of that moment would wait for a target that still fails.
+    """
+    if row.ejected_until > now:
+        return True
+    if row.on_probation:
+        return row.trial_until > now or row.account.retry_balance < 1.0
+    return row.notes is not None and probers_agree(tables, row, now)
+
+
+def note_placed(row: TargetRow, now: float) -> None:
+    """A new flow was placed on the target: on probation it is the trial."""
+    if row.on_probation:
+        row.trial_until = now + TRIAL_INTERVAL
+
+
+def probers_agree(tables: Tables, row: TargetRow, now: float) -> bool:
+    """Whether all probers call the target unhealthy and no opening disproves it."""
+    notes = fresh_notes(row, now)
+    needed = min(PROBERS, len(tables.ring.members))
+    if len(notes) < needed or any(note.healthy for note in notes):
+        return False
+    return row.answered_at < min(note.since for note in notes)
+
+
+def fresh_notes(row: TargetRow, now: float) -> list[ProbeNote]:
+    """Return what probers said of the target lately."""
+    if row.notes is None:
+        return []
+    return [note for note in row.notes.values() if note.deadline > now]
+
+
+def weight_of(row: TargetRow, now: float) -> float:
+    """Return how much fuller than it is the target is to look to new flows."""
+    weight = 1.0
+    if row.warm_at > now:
+        weight /= max(RAMP_START, 1.0 - (row.warm_at - now) / RAMP_TIME)
+    if row.notes is None:
+        return weight
+    notes = fresh_notes(row, now)
+    loads = [note.load for note in notes if note.load is not None]
+    if loads:
+        weight *= 1.0 + LOAD_WEIGHT * sum(loads) / len(loads)
+    if any(not note.healthy for note in notes):
+        weight *= UNHEALTHY_WEIGHT
+    return weight
+
+
+def return_at(account: AccountRow, now: float) -> float | None:
+    """Return when the first target out of service is tried again, if one is."""
+    times = [max(row.ejected_until, row.placeable_from) for row in account.targets]
+    return min((time for time in times if time > now), default=None)
+
+
+# Probes ------------------------------------------------------------------------
+
+
+def request_probes(tables: Tables, now: float, actions: list[Action]) -> None:
+    """Ask for the probes that are due of active accounts' targets."""
+    for account in tables.active_accounts.values():
+        for row in account.targets:
+            if row.probe_at <= now and row.target.health is not None:
+                row.probe_at = next_probe(tables, row, now)
+                if is_prober(tables, row):
+                    actions.append(ProbeTarget(row.target.target_id))
+
+
+def next_probe(tables: Tables, row: TargetRow, now: float) -> float:
+    """Return the next probe time; hashed, so that probes do not come in bursts."""
+    spread = score(tables.host_id.encode(), row.seed) % 1000 / 1000
+    phase = spread * PROBE_INTERVAL
+    passed = (now - phase) // PROBE_INTERVAL + 1
+    return phase + passed * PROBE_INTERVAL
+
+
+def is_prober(tables: Tables, row: TargetRow) -> bool:
+    """Whether this host is one of the target's probers."""
+    order = ranked(row.target.target_id.encode(), tables.ring.members)
+    return tables.host_id in order[:PROBERS]
+
+
+def take_probe_result(tables: Tables, event: ProbeResult, now: float) -> None:
+    """Keep a probe's result; a change of mind takes several in a row."""
+    row = tables.targets.get(event.target_id)
+    if row is None:
+        return
+    note = (row.notes or {}).get(tables.host_id)
+    healthy = event.healthy
+    contrary = 0
+    if note is not None and note.healthy != healthy:
+        contrary = note.contrary + 1
+        if contrary < PROBES_TO_CHANGE:
+            healthy = note.healthy
+        else:
+            contrary = 0
+    take_note(tables, row, tables.host_id, healthy, event.load, now)
+    assert row.notes is not None
+    row.notes[tables.host_id].contrary = contrary
+
+
+def take_note(
+    tables: Tables,
+    row: TargetRow,
+    prober: str,
+    healthy: bool,
+    load: float | None,
+    now: float,
+) -> None:
+    """Keep what a prober says of a target."""
+    if row.notes is None:
+        row.notes = {}
+    earlier = row.notes.get(prober)
+    since = now
+    if earlier is not None and earlier.deadline > now and earlier.healthy == healthy:
+        since = earlier.since
+    row.notes[prober] = ProbeNote(healthy, load, since, now + NOTE_LIFETIME)
+
+
+def target_unreachable(tables: Tables, target_id: str, now: float) -> None:
+    """The network said that a target's tunnel takes no packets."""
+    row = tables.targets.get(target_id)
+    if row is not None:
+        note_failure(tables, row, now)
--- a/citronspring/systems/openings.py
+++ b/citronspring/systems/openings.py
@@ -14,6 +14,8 @@
     SendToTarget,
 )
 from citronspring.systems.binding import bind, forget
+from citronspring.systems.health import note_failure, note_placed, return_at
+from citronspring.systems.limits import RETRY_AFTER, admit, take_retry
 from citronspring.systems.placement import choose_target
 from citronspring.tables import FlowState, OpeningRow, TargetRow
 
@@ -28,49 +30,13 @@
 #: Seconds a target's refusal of a first datagram is waited for.
 DATAGRAM_ATTEMPT_TIMEOUT = 1.0
 
-#: Seconds after which a refused caller is told to come back, where the reason
-#: itself does not say when.
-RETRY_AFTER = 2.0
-
-#: New flows a client account may open at once beyond its rate, in seconds of rate.
-BURST_SECONDS = 1.0
-
-#: Retries a client account can save up.
-RETRY_BALANCE_MAX = 100.0
+#: Seconds an answered flow that its caller did not confirm is kept beyond the
+#: opening timeout.
+UNCONFIRMED_LIFETIME = 10.0
 
 TCP = 6
 
 
-def group_share(tables: Tables) -> float:
-    """Return the share of an account's limits that this owner enforces.
-
-    Ownership is a uniform share of flows, so each owner holds its part of a limit
-    without asking the others.
-    """
-    return 1.0 / max(1, len(tables.ring.members))
-
-
-def admit(
-    tables: Tables, account: AccountRow, now: float
-) -> tuple[RefusalReason, float] | None:
-    """Count one opening against the account; return why and until when not."""
-    limits = account.account.limits
-    if len(tables.flows.rows) >= tables.max_flows:
-        return RefusalReason.TABLE_FULL, now + RETRY_AFTER
-    share = group_share(tables)
-    if account.open_flows + 1 > max(1.0, limits.max_connections * share):
-        return RefusalReason.ACCOUNT_CONNECTIONS, now + RETRY_AFTER
-    rate = limits.new_per_second * share
-    burst = max(1.0, rate * BURST_SECONDS)
-    if not account.openings.admit(now, rate, burst):
-        retry_at = account.openings.retry_at(rate, burst)
-        return RefusalReason.ACCOUNT_RATE, max(now, retry_at)
-    account.retry_balance = min(
-        RETRY_BALANCE_MAX, account.retry_balance + limits.retry_ratio
-    )
-    return None
-
-
 def open_flow(
     tables: Tables,
     account: AccountRow,
@@ -85,8 +51,10 @@
         return
     chosen = choose_target(tables, packet.flow, account, [], now)
     if isinstance(chosen, RefusalReason):
-        actions.append(refuse(tables, packet, chosen, now + RETRY_AFTER))
+        retry_at = refused_until(account, chosen, now)
+        actions.append(refuse(tables, packet, chosen, retry_at))
         return
+    note_placed(chosen, now)
     tables.counters["opened"] += 1
     bind(tables, packet.flow, chosen, FlowState.OPENING, now)
     timeout = ATTEMPT_TIMEOUT if packet.flow[0] == TCP else DATAGRAM_ATTEMPT_TIMEOUT
@@ -136,14 +104,14 @@
 ) -> None:
     """Try another target for an opening, or give the caller its final answer."""
     account = opening.tried[-1].account
-    if account.retry_balance < 1.0:
-        give_up(tables, flow, opening, RefusalReason.RETRIES_SPENT, now, actions)
-        return
     chosen = choose_target(tables, flow, account, opening.tried, now)
     if isinstance(chosen, RefusalReason):
         give_up(tables, flow, opening, reason, now, actions)
         return
-    account.retry_balance -= 1.0
+    if not take_retry(account):
+        give_up(tables, flow, opening, RefusalReason.RETRIES_SPENT, now, actions)
+        return
+    note_placed(chosen, now)
     tables.counters["retried"] += 1
     bind(tables, flow, chosen, FlowState.OPENING, now)
     opening.tried.append(chosen)
@@ -161,13 +129,16 @@
     actions: list[Action],
 ) -> None:
     """Refuse an opening that no target took; nothing of its data was sent on."""
+    retry_at = refused_until(opening.account, reason, now)
     forget(tables, flow)
-    actions.append(refuse(tables, opening.packet, reason, now + RETRY_AFTER))
+    actions.append(refuse(tables, opening.packet, reason, retry_at))
 
 
-def note_refusal(row: TargetRow) -> None:
-    """Count an opening that a target refused or left unanswered."""
-    row.failures += 1
+def refused_until(account: AccountRow, reason: RefusalReason, now: float) -> float:
+    """Return when a caller that was refused for want of a target may come back."""
+    if reason is RefusalReason.NO_HEALTHY_TARGET:
+        return return_at(account, now) or now + RETRY_AFTER
+    return now + RETRY_AFTER
 
 
 def target_reset_opening(
@@ -175,7 +146,7 @@
 ) -> None:
     """A target answered a SYN with a reset: it ran nothing, so try another."""
     opening = tables.openings[flow]
-    note_refusal(row.target)
+    note_failure(tables, row.target, now)
     retry_opening(tables, flow, opening, RefusalReason.NO_HEALTHY_TARGET, now, actions)
 
 
@@ -199,6 +170,12 @@
     row = tables.flows.rows.get(flow)
     if row is not None and row.state == FlowState.OPENING:
         row.state = FlowState.ESTABLISHED
+    elif row is not None and row.state == FlowState.ANSWERED:
+        # Callers that never confirm (a SYN flood) would each hold a row, and a
+        # connection of the target, for the idle timeout. A late caller is found
+        # by second chance.
+        row.deadline = now + UNCONFIRMED_LIFETIME
+        tables.flows.schedule(flow, row)
     del tables.openings[flow]
 
 
@@ -215,7 +192,7 @@
     there after the caller was refused, or beside the flow at another target.
     """
     current = opening.tried[-1]
-    note_refusal(current)
+    note_failure(tables, current, now)
     actions.append(ResetTarget(current.target.target_id, opening.packet))
     if opening.deadline <= now:
         reason = RefusalReason.OPENING_TIMEOUT
--- a/citronspring/systems/placement.py
+++ b/citronspring/systems/placement.py
@@ -11,6 +11,8 @@
 
 from citronspring.messages import RefusalReason
 from citronspring.rendezvous import score
+from citronspring.systems.health import is_out, weight_of
+from citronspring.systems.limits import has_room
 
 if TYPE_CHECKING:
     from citronspring.entities import FlowKey
@@ -32,6 +34,13 @@
 DATAGRAM_LOAD_BOUND = 1.25
 
 
+#: Times the mean load that the last healthy targets take before those that health
+#: speaks against are used again.
+PANIC_LOAD = 4.0
+
+UDP = 17
+
+
 def rank_targets(flow: FlowKey, rows: list[TargetRow]) -> list[TargetRow]:
     """Return target rows from the highest rendezvous weight to the lowest."""
     return sorted(rows, key=lambda row: score(flow, row.seed), reverse=True)
@@ -47,14 +56,39 @@
     return rank_targets(flow, placeable)[:WINDOW]
 
 
-def load_of(row: TargetRow) -> float:
-    """Return the share of a target's connections in use, as far as known."""
-    return (row.flows + row.remote_flows) / row.target.max_connections
+def flows_on(tables: Tables, row: TargetRow) -> float:
+    """Return the open flows of a target over all hosts, as far as known.
+
+    A host of which nothing is known is taken to have placed as much as this one.
+    """
+    return row.flows * (1 + tables.silent_peers) + row.remote_flows
 
 
-def is_eligible(row: TargetRow, now: float) -> bool:
-    """Whether health and limits let the target take one more flow."""
-    return row.ejected_until <= now and load_of(row) < 1.0
+def load_of(tables: Tables, row: TargetRow, now: float) -> float:
+    """Return how full a target looks to one more flow; only good to compare."""
+    part = row.target.max_connections
+    return (flows_on(tables, row) + 1.0) / part * weight_of(row, now)
+
+
+def usable(
+    tables: Tables, window: list[TargetRow], free: list[TargetRow], now: float
+) -> list[TargetRow]:
+    """Return the targets with room that health lets new flows go to.
+
+    Health never takes away more than half of the targets: beyond that the fault
+    may lie with this host's view, and the few left would be overrun. They then
+    still go first, until they carry ``PANIC_LOAD`` times the mean.
+    """
+    standing = [row for row in window if not is_out(tables, row, now)]
+    if len(standing) == len(window):
+        return free
+    healthy = [row for row in free if row in standing]
+    if 2 * len(standing) >= len(window):
+        return healthy
+    mean = sum(flows_on(tables, row) for row in window) / len(window)
+    ceiling = PANIC_LOAD * (mean + 1.0)
+    calm = [row for row in healthy if flows_on(tables, row) <= ceiling]
+    return calm or free
 
 
 def choose_target(
@@ -69,26 +103,28 @@
     untried = [row for row in window if row not in tried]
     if not untried:
         return RefusalReason.NO_HEALTHY_TARGET
-    eligible = [row for row in untried if is_eligible(row, now)]
+    free = [row for row in untried if has_room(tables, row)]
+    if not free:
+        return RefusalReason.TARGETS_FULL
+    eligible = usable(tables, window, free, now)
     if not eligible:
-        if any(row.ejected_until <= now for row in untried):
-            return RefusalReason.TARGETS_FULL
         return RefusalReason.NO_HEALTHY_TARGET
     count = len(eligible) if len(window) <= ALL_CANDIDATES else CANDIDATES
     candidates = eligible[:count]
-    if flow[0] == 17:
-        return first_within_bound(candidates)
+    if flow[0] == UDP:
+        return first_within_bound(tables, candidates)
     return min(
-        candidates, key=lambda row: (load_of(row), row.target.zone != tables.zone)
+        candidates,
+        key=lambda row: (load_of(tables, row, now), row.target.zone != tables.zone),
     )
 
 
-def first_within_bound(candidates: list[TargetRow]) -> TargetRow:
+def first_within_bound(tables: Tables, candidates: list[TargetRow]) -> TargetRow:
     """Return the first-ranked candidate that is not loaded far above the mean."""
-    total = sum(row.flows + row.remote_flows for row in candidates)
+    total = sum(flows_on(tables, row) for row in candidates)
     bound = DATAGRAM_LOAD_BOUND * (total + 1) / len(candidates)
     for row in candidates:
-        if row.flows + row.remote_flows <= bound:
+        if flows_on(tables, row) <= bound:
             return row
     return candidates[0]
 
--- a/citronspring/systems/revisions.py
+++ b/citronspring/systems/revisions.py
@@ -6,6 +6,7 @@
 
 from citronspring.rendezvous import service_key
 from citronspring.systems.binding import forget
+from citronspring.systems.health import RAMP_TIME
 from citronspring.tables import AccountRow, TargetRow
 
 if TYPE_CHECKING:
@@ -85,6 +86,7 @@
         if existing is None:
             existing = TargetRow.from_target(target, row)
             existing.placeable_from = placeable_from
+            existing.warm_at = placeable_from + RAMP_TIME
             tables.targets[target.target_id] = existing
             row.targets.append(existing)
         tables.targets_by_ip.pop(existing.target.tunnel.ip, None)
--- a/citronspring/systems/routing.py
+++ b/citronspring/systems/routing.py
@@ -21,10 +21,10 @@
 from citronspring.rendezvous import service_key_of
 from citronspring.systems import second_chance
 from citronspring.systems.binding import bind, close, forget, idle_deadline
+from citronspring.systems.health import note_answer, note_failure
+from citronspring.systems.limits import RETRY_AFTER
 from citronspring.systems.openings import (
-    RETRY_AFTER,
     forward_by_second,
-    note_refusal,
     open_flow,
     retry_opening,
     target_reset_opening,
@@ -187,7 +187,9 @@
         actions.append(Drop(DropReason.UNCERTAIN))
         return
     if row is None:
-        bind(tables, event.flow, proposed, FlowState.BACKUP, now)
+        rows = tables.flows.rows
+        if rows.has_room(proposed.account, tables.max_flows):
+            bind(tables, event.flow, proposed, FlowState.BACKUP, now)
     elif row.state == FlowState.BACKUP:
         row.deadline = idle_deadline(event.flow, proposed.account, now)
     actions.append(SendToTarget(proposed.target.target_id, event.packet))
@@ -464,12 +466,12 @@
         target_reset_opening(tables, flow, row, now, actions)
     elif flow[0] != TCP:
         row.state = FlowState.ESTABLISHED
-        row.target.failures = 0
+        note_answer(row.target, now)
         del tables.openings[flow]
         actions.append(SendToCaller(packet))
     elif packet.flags & SYN:
         row.state = FlowState.ANSWERED
-        row.target.failures = 0
+        note_answer(row.target, now)
         opening.answer_seq = packet.seq
         actions.append(SendToCaller(packet))
     else:
@@ -483,7 +485,7 @@
 ) -> None:
     """A target refused a datagram: try another if nothing else was sent there."""
     opening = tables.openings[packet.flow]
-    note_refusal(row.target)
+    note_failure(tables, row.target, now)
     if opening.sent > 1:
         close(tables, packet.flow, row, now)
         actions.append(SendToCaller(packet))
--- a/citronspring/systems/second_chance.py
+++ b/citronspring/systems/second_chance.py
@@ -20,6 +20,7 @@
     SendToTarget,
 )
 from citronspring.systems.binding import bind
+from citronspring.systems.idle import wake
 from citronspring.systems.placement import possible_targets
 from citronspring.tables import FlowState, WalkRow
 
@@ -61,11 +62,13 @@
     actions: list[Action],
 ) -> None:
     """Hold a packet of an unknown TCP flow and start looking for its target."""
-    if len(tables.walks) >= MAX_WALKS:
+    wake(tables, account, now)
+    if not tables.walks.has_room(account, MAX_WALKS):
         actions.append(Drop(DropReason.WALK_FULL))
         return
     tables.counters["walks"] += 1
     walk = WalkRow(
+        account,
         possible_targets(packet.flow, account),
         [packet],
         now + WALK_TIMEOUT,
--- a/citronspring/tables.py
+++ b/citronspring/tables.py
@@ -5,7 +5,7 @@
 from collections import Counter
 from dataclasses import dataclass, field
 from enum import IntEnum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol, TypeVar
 
 from citronspring.entities import Account, FlowKey, Host, HostState, ServiceKey, Target
 from citronspring.rendezvous import OwnerRing, seed_of
@@ -25,6 +25,11 @@
 WHEEL_GRAIN = 4.0
 
 
+#: A client account may hold this many times the rows that are still free, so that
+#: one account's flood takes two thirds of a table and the next finds room.
+ROOM_FACTOR = 2
+
+
 class FlowState(IntEnum):
     """How far a flow has come; plain integers in the rows."""
 
@@ -48,18 +53,43 @@
 
     def admit(self, now: float, per_second: float, burst: float) -> bool:
         """Count one event if it is within rate and burst; return whether it is."""
-        interval = 1.0 / per_second
-        start = max(self.paid_at, now)
-        if start - now > burst * interval:
+        if now < self.retry_at(per_second, burst):
             return False
-        self.paid_at = start + interval
+        self.paid_at = max(self.paid_at, now) + 1.0 / per_second
         return True
 
     def retry_at(self, per_second: float, burst: float) -> float:
-        """Return the time from which one more event is admitted."""
+        """Return the time from which one more event is admitted.
+
+        `admit` compares with this very number: worked out in two ways, rounding
+        would refuse a caller who comes back just when told to.
+        """
         return self.paid_at - burst / per_second
 
 
+@dataclass(slots=True, frozen=True)
+class PeerUse:
+    """Flows of a client account that a peer promised to stay within, or holds."""
+
+    open_flows: int
+    heard_at: float
+
+
+@dataclass(slots=True)
+class ProbeNote:
+    """What one prober last said of a target."""
+
+    healthy: bool
+    #: Busy share, 0.0 to 1.0 and above when queueing; None if not told.
+    load: float | None
+    #: When it began to say so.
+    since: float
+    #: The note counts for nothing from this time.
+    deadline: float
+    #: Results in a row that contradict ``healthy``, at the prober itself.
+    contrary: int = 0
+
+
 @dataclass(slots=True, eq=False)
 class AccountRow:
     """A client account with its counts on this host."""
@@ -69,8 +99,14 @@
     targets: list[TargetRow] = field(default_factory=list)
     #: Flows this host owns and that are not closed.
     open_flows: int = 0
-    #: Open flows at other hosts, as they report them.
-    remote_flows: int = 0
+    #: Promises of peers by host id; None while no peer made one.
+    uses: dict[str, PeerUse] | None = None
+    #: What this host last promised to stay within.
+    promised: int = 0
+    #: When that promise runs out; 0.0 if there never was one.
+    promised_until: float = 0.0
+    #: Until this time peers need what this host leaves unused.
+    pressed_until: float = 0.0
     openings: PacedLimit = field(default_factory=PacedLimit)
     #: Retries of openings that may still be made.
     retry_balance: float = 10.0
@@ -102,8 +138,6 @@
     flows: int = 0
     #: Open flows at other hosts, as they report them.
     remote_flows: float = 0.0
-    #: Busy share its endpoint reports, 0.0 to 1.0 and above when queueing.
-    reported_load: float = 0.0
     #: New flows are placed only from this time on: every host must know the
     #: target first, or a host that does not would take its flows for lost.
     placeable_from: float = 0.0
@@ -115,6 +149,18 @@
     ejections: int = 0
     #: Openings in a row that it refused or did not answer.
     failures: int = 0
+    #: Ejected once and not seen to answer since: one trial flow at a time.
+    on_probation: bool = False
+    #: No further trial flow before this time.
+    trial_until: float = 0.0
+    #: From this time its earlier ejections no longer lengthen the next one.
+    forgiven_at: float = 0.0
+    #: When it last answered an opening.
+    answered_at: float = -1.0
+    #: When this host asks its health endpoint next, if it is one of the probers.
+    probe_at: float = 0.0
+    #: What probers said, by host id; None while nobody did.
+    notes: dict[str, ProbeNote] | None = None
 
     @classmethod
     def from_target(cls, target: Target, account: AccountRow) -> TargetRow:
@@ -139,6 +185,11 @@
     #: The wheel bucket that will look at the flow; entries elsewhere are stale.
     bucket: list[FlowKey] | None = None
 
+    @property
+    def account(self) -> AccountRow:
+        """The client account of the flow."""
+        return self.target.account
+
 
 @dataclass(slots=True, eq=False)
 class OpeningRow:
@@ -157,11 +208,17 @@
     #: Packets of the flow sent to the current target.
     sent: int = 1
 
+    @property
+    def account(self) -> AccountRow:
+        """The client account of the opening."""
+        return self.tried[-1].account
+
 
 @dataclass(slots=True, eq=False)
 class WalkRow:
     """A search for the target that holds a flow this host does not know."""
 
+    account: AccountRow
     candidates: list[TargetRow]
     #: Packets held; the first is the one the candidates are asked with.
     packets: list[Packet]
@@ -200,11 +257,67 @@
     forget_at: float = 0.0
 
 
+class AccountHeld(Protocol):
+    """A row that belongs to a client account."""
+
+    @property
+    def account(self) -> AccountRow:
+        """The client account."""
+
+
+RowT = TypeVar("RowT", bound=AccountHeld)
+
+
+class AccountedRows(dict[FlowKey, RowT]):
+    """Rows by flow that know how many of them each client account holds."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        #: Rows by client account; accounts without rows are not in it.
+        self.held: dict[AccountRow, int] = {}
+
+    def has_room(self, account: AccountRow, maximum: int) -> bool:
+        """Whether the account may hold one more row of at most ``maximum``.
+
+        A bound for all accounts together would let the first flood lock the
+        others out; a fixed part for each would leave idle accounts' parts unused.
+        """
+        free = maximum - len(self)
+        return self.held.get(account, 0) < ROOM_FACTOR * free
+
+    def note(self, account: AccountRow, step: int) -> None:
+        """Add to an account's number of rows."""
+        number = self.held.get(account, 0) + step
+        if number:
+            self.held[account] = number
+        else:
+            self.held.pop(account, None)
+
+    def __setitem__(self, flow: FlowKey, row: RowT) -> None:
+        earlier = self.get(flow)
+        if earlier is not None:
+            self.note(earlier.account, -1)
+        super().__setitem__(flow, row)
+        self.note(row.account, 1)
+
+    def __delitem__(self, flow: FlowKey) -> None:
+        row = self[flow]
+        super().__delitem__(flow)
+        self.note(row.account, -1)
+
+    def pop(self, flow: FlowKey, default: None = None) -> RowT | None:  # type: ignore[override]
+        """Remove and return a row, or return None."""
+        row = super().pop(flow, default)
+        if row is not None:
+            self.note(row.account, -1)
+        return row
+
+
 @dataclass(slots=True)
 class FlowTable:
     """Flows by key, with a wheel of keys by the time they may expire."""
 
-    rows: dict[FlowKey, FlowRow] = field(default_factory=dict)
+    rows: AccountedRows[FlowRow] = field(default_factory=AccountedRows)
     wheel: dict[int, list[FlowKey]] = field(default_factory=dict)
 
     def add(self, flow: FlowKey, row: FlowRow) -> None:
@@ -241,14 +354,18 @@
     hosts: dict[str, HostRow] = field(default_factory=dict)
     ring: OwnerRing = field(default_factory=OwnerRing)
     accounts: dict[str, AccountRow] = field(default_factory=dict)
+    #: The client accounts with something to do; the others cost no time.
+    active_accounts: dict[str, AccountRow] = field(default_factory=dict)
     services: dict[ServiceKey, AccountRow] = field(default_factory=dict)
     targets: dict[str, TargetRow] = field(default_factory=dict)
     #: Target ids by the address their tunnel packets come from.
     targets_by_ip: dict[str, str] = field(default_factory=dict)
     flows: FlowTable = field(default_factory=FlowTable)
-    openings: dict[FlowKey, OpeningRow] = field(default_factory=dict)
-    walks: dict[FlowKey, WalkRow] = field(default_factory=dict)
+    openings: AccountedRows[OpeningRow] = field(default_factory=AccountedRows)
+    walks: AccountedRows[WalkRow] = field(default_factory=AccountedRows)
     hints: dict[FlowKey, HintRow] = field(default_factory=dict)
+    #: Members of the ring of whose flows nothing fresh is known.
+    silent_peers: int = 0
     #: Packets, drops and decisions by name.
     counters: Counter[str] = field(default_factory=Counter)
     #: Time by which a leaving host exits; None while it stays.
--- /dev/null
+++ b/tests/test_systems/test_health.py
@@ -0,0 +1,320 @@
+"""Health: ejection, trials, panic, ramps, probes, and what endpoints may say."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import replace
+
+from citronspring.entities import ChangeRecord, Endpoint, Snapshot
+from citronspring.messages import (
+    ProbeResult,
+    ProbeTarget,
+    RecordsRead,
+    RefusalReason,
+    Refuse,
+    TargetUnreachable,
+)
+from citronspring.systems import health
+from citronspring.systems.openings import ATTEMPT_TIMEOUT
+from citronspring.systems.revisions import PLACEMENT_DELAY
+from tests.conftest import make_account
+from tests.test_systems import driver
+
+#: Late enough for every target of a new core to be warm.
+WARM = 100.0
+SICK = "bundelpers-0"
+
+
+class Callers:
+    """Opens flows one after the other; named targets shed or do not answer."""
+
+    def __init__(self, core, shedding=(), frozen=()):
+        self.core = core
+        self.shedding = set(shedding)
+        self.frozen = set(frozen)
+        self.port = 1024
+        self.offered = Counter()
+        self.placed = Counter()
+        self.refused = 0
+
+    def open(self, count, now):
+        for _ in range(count):
+            self.port += 1
+            actions = self.core.receive(driver.syn(driver.flow_to(port=self.port)), now)
+            self.answer(actions, now)
+
+    def answer(self, actions, now):
+        """Play the targets' part until nothing is left to answer."""
+        while actions:
+            action = actions.pop(0)
+            if isinstance(action, Refuse):
+                self.refused += 1
+            elif driver.kinds([action]) == ["SendToTarget"]:
+                actions += self.answer_syn(action, now)
+
+    def answer_syn(self, action, now):
+        flow, target_id = action.packet.flow, action.target_id
+        self.offered[target_id] += 1
+        if target_id in self.frozen:
+            return []
+        if target_id in self.shedding:
+            return self.core.receive(driver.reset(flow, target_id), now)
+        self.placed[target_id] += 1
+        self.core.receive(driver.syn_ack(flow, target_id), now)
+        self.core.receive(driver.from_caller(flow), now)
+        return []
+
+    def tick(self, now):
+        self.answer(self.core.tick(now), now)
+
+
+def sick_row(core):
+    return core.tables.targets[SICK]
+
+
+def probe(core, healthy, now, target_id=SICK, load=None):
+    core.receive(ProbeResult(target_id, healthy, load), now)
+
+
+def note_of_peer(core, healthy, now, load=None):
+    health.take_note(core.tables, sick_row(core), "host-1", healthy, load, now)
+
+
+def test_shedding_target_is_left_alone_though_its_endpoint_says_healthy(snapshot):
+    """Readers are served by other servers while one refuses everything.
+
+    The target resets every SYN and has the fewest flows, so that it is chosen
+    first each time; its endpoint says healthy. Three refusals eject it. No caller
+    is refused, since each refused opening is retried elsewhere.
+    """
+    core = driver.make_core(snapshot)
+    callers = Callers(core, shedding=[SICK])
+    for step in range(100):
+        probe(core, True, WARM + step / 100)
+        callers.open(1, WARM + step / 100)
+    assert callers.offered[SICK] == health.FAILURES_TO_EJECT
+    assert callers.refused == 0
+    assert sum(callers.placed.values()) == 100
+
+
+def test_ejected_target_returns_by_one_trial_at_a_time(snapshot):
+    """After its ejection a target gets one caller, not all of them.
+
+    It still sheds at the first trial and is ejected for twice as long. Then it
+    has recovered: one trial is let in, and while it is unanswered nobody else.
+    The answer lets it ramp up.
+    """
+    core = driver.make_core(snapshot)
+    callers = Callers(core, shedding=[SICK])
+    callers.open(60, WARM)
+    again = WARM + health.EJECTION_TIME
+    callers.open(60, again)
+    assert callers.offered[SICK] == health.FAILURES_TO_EJECT + 1
+    assert sick_row(core).ejected_until == again + 2 * health.EJECTION_TIME
+    callers.shedding, callers.frozen = set(), {SICK}
+    later = sick_row(core).ejected_until
+    callers.open(60, later)
+    assert callers.offered[SICK] == health.FAILURES_TO_EJECT + 2
+    trial = next(flow for flow, row in core.tables.openings.items())
+    core.receive(driver.syn_ack(trial, SICK), later)
+    assert not sick_row(core).on_probation
+    callers.frozen = set()
+    callers.open(7, later)
+    assert callers.placed[SICK] < 7
+    assert sick_row(core).warm_at == later + health.RAMP_TIME
+
+
+def test_frozen_target_loses_new_flows_and_keeps_its_streams(snapshot):
+    """A preview pauses with its frozen server and goes on; new readers do not wait.
+
+    The target stops answering, without a reset. Openings given to it time out
+    and are retried; three of them eject it. The stream that is open there stays
+    bound, for the server may wake.
+    """
+    core = driver.make_core(snapshot)
+    callers = Callers(core)
+    callers.open(70, WARM)
+    stream = next(
+        flow
+        for flow, row in core.tables.flows.rows.items()
+        if row.target is sick_row(core)
+    )
+    callers.frozen = {SICK}
+    callers.open(28, WARM + 1.0)
+    callers.tick(WARM + 1.0 + ATTEMPT_TIMEOUT)
+    assert sick_row(core).ejected_until > WARM + 2.0
+    offered = callers.offered[SICK]
+    callers.open(50, WARM + 2.0)
+    assert callers.offered[SICK] == offered
+    assert callers.refused == 0
+    [action] = core.receive(driver.from_caller(stream, data=b"more"), WARM + 2.0)
+    assert action.target_id == SICK
+
+
+def test_flapping_target_is_ejected_for_longer_and_longer(snapshot):
+    core = driver.make_core(snapshot)
+    row, now, lengths = sick_row(core), WARM, []
+    for _ in range(8):
+        for _ in range(health.FAILURES_TO_EJECT):
+            health.note_failure(core.tables, row, now)
+        lengths.append(row.ejected_until - now)
+        now = row.ejected_until
+        health.note_answer(row, now)
+    assert lengths == [2, 4, 8, 16, 32, 60, 60, 60]
+    now += health.FORGIVENESS_TIME
+    for _ in range(health.FAILURES_TO_EJECT):
+        health.note_failure(core.tables, row, now)
+    assert row.ejected_until - now == health.EJECTION_TIME
+
+
+def test_two_healthy_targets_of_seven_carry_the_callers(snapshot):
+    """Most of the office's servers shed at once; the two that work are used.
+
+    Five of seven are ejected, more than half. The two left go first, so that callers
+    do not pay for targets that fail; the five are not forgotten.
+    """
+    core = driver.make_core(snapshot)
+    core.tables.accounts["bundelpers"].retry_balance = 50.0
+    callers = Callers(core, shedding=[f"bundelpers-{n}" for n in range(5)])
+    callers.open(60, WARM)
+    assert callers.refused == 0
+    assert set(callers.placed) == {"bundelpers-5", "bundelpers-6"}
+    assert sum(callers.offered[f"bundelpers-{n}"] for n in range(5)) <= 15
+
+
+def test_account_is_never_emptied_and_its_last_target_not_overrun(snapshot):
+    """When all targets seem to fail, all are used, and one answer draws no herd.
+
+    A fault near this host made every opening fail, so every target is ejected. New
+    callers are still sent to targets. The first that answers is not given everybody:
+    beyond four times the mean the others are used again.
+    """
+    core = driver.make_core(snapshot)
+    for row in core.tables.accounts["bundelpers"].targets:
+        health.eject(core.tables, row, WARM)
+    callers = Callers(core)
+    callers.open(1, WARM)
+    assert sum(callers.placed.values()) == 1
+    callers.open(69, WARM)
+    assert callers.refused == 0
+    assert max(callers.placed.values()) < 50
+
+
+def test_no_trial_while_the_retry_budget_is_spent(snapshot):
+    core = driver.make_core(snapshot)
+    row = sick_row(core)
+    health.eject(core.tables, row, WARM)
+    row.account.retry_balance = 0.0
+    assert health.is_out(core.tables, row, row.ejected_until)
+    row.account.retry_balance = 1.0
+    assert not health.is_out(core.tables, row, row.ejected_until)
+
+
+def test_unreachable_target_is_ejected(snapshot):
+    core = driver.make_core(snapshot)
+    for _ in range(health.FAILURES_TO_EJECT):
+        core.receive(TargetUnreachable(SICK), WARM)
+    assert sick_row(core).ejected_until > WARM
+    core.receive(TargetUnreachable("nobody"), WARM)
+
+
+def test_prober_alone_cannot_take_a_working_target_out(snapshot):
+    """A server whose endpoint lies goes on serving readers.
+
+    One prober calls it unhealthy: it gets fewer flows. Both do, and no opening
+    has succeeded since: new flows keep away. One opening that succeeds outweighs
+    both of them.
+    """
+    core = driver.make_core(snapshot, hosts=2)
+    row = sick_row(core)
+    probe(core, False, WARM)
+    assert not health.is_out(core.tables, row, WARM)
+    assert health.weight_of(row, WARM) == health.UNHEALTHY_WEIGHT
+    note_of_peer(core, False, WARM)
+    assert health.is_out(core.tables, row, WARM)
+    health.note_answer(row, WARM + 1.0)
+    probe(core, False, WARM + 2.0)
+    note_of_peer(core, False, WARM + 2.0)
+    assert not health.is_out(core.tables, row, WARM + 2.0)
+
+
+def test_notes_of_silent_probers_run_out(snapshot):
+    core = driver.make_core(snapshot, hosts=2)
+    row = sick_row(core)
+    probe(core, False, WARM)
+    note_of_peer(core, False, WARM)
+    assert not health.is_out(core.tables, row, WARM + health.NOTE_LIFETIME)
+    assert health.weight_of(row, WARM + health.NOTE_LIFETIME) == 1.0
+
+
+def test_prober_needs_two_results_to_change_its_mind(snapshot):
+    """A flapping endpoint does not swing readers to and fro between servers."""
+    core = driver.make_core(snapshot, hosts=2)
+    row = sick_row(core)
+    said = []
+    for step, healthy in enumerate([True, False, True, False, False, True, True]):
+        probe(core, healthy, WARM + 2 * step)
+        said.append(row.notes["host-0"].healthy)
+    assert said == [True, True, True, True, False, False, True]
+
+
+def test_reported_load_moves_few_flows(snapshot):
+    core = driver.make_core(snapshot)
+    probe(core, True, WARM, load=2.0)
+    callers = Callers(core)
+    callers.open(700, WARM)
+    assert 75 <= callers.placed[SICK] < 100
+
+
+def test_new_target_takes_a_growing_share(snapshot):
+    """A server that was just added is not given every new reader at once.
+
+    It has no flows, so that it is the least loaded by far; cold, it would stall
+    them all. Its share grows with time until it carries what the others do.
+    """
+    core = driver.make_core(snapshot)
+    callers = Callers(core)
+    callers.open(700, WARM)
+    record = ChangeRecord(2, "more", "bundelpers", make_account(targets=8))
+    core.receive(RecordsRead((record,)), WARM)
+    shares = []
+    start = WARM + PLACEMENT_DELAY
+    for part in (0.0, 0.5, 1.0):
+        callers.open(70, start + part * health.RAMP_TIME)
+        shares.append(callers.placed["bundelpers-7"])
+    assert 5 <= shares[0] <= 15
+    assert 40 <= shares[1] <= 70
+    assert shares[2] > shares[1] + 40
+
+
+def with_endpoints(snapshot):
+    account = snapshot.accounts[0]
+    targets = [
+        replace(target, health=Endpoint(target.tunnel.ip, 8080))
+        for target in account.targets
+    ]
+    return Snapshot(1, (driver.with_targets(account, targets),))
+
+
+def test_two_hosts_probe_each_target_every_two_seconds(snapshot):
+    probes = Counter()
+    for index in range(5):
+        core = driver.make_core(with_endpoints(snapshot), 5, index)
+        core.receive(driver.syn(driver.owned_flow(core)), 0.0)
+        for step in range(200):
+            for action in core.tick(step / 10):
+                if isinstance(action, ProbeTarget):
+                    probes[action.target_id] += 1
+    assert len(probes) == 7
+    assert all(18 <= number <= 22 for number in probes.values())
+
+
+def test_no_endpoint_no_probe_and_refusal_names_the_return(snapshot):
+    core = driver.make_core(Snapshot(1, (make_account(targets=1),)))
+    callers = Callers(core, shedding=[SICK])
+    callers.open(3, WARM)
+    assert not [item for item in core.tick(WARM) if isinstance(item, ProbeTarget)]
+    actions = core.receive(driver.syn(driver.flow_to()), WARM + 0.5)
+    actions = core.receive(driver.reset(driver.flow_to(), SICK), WARM + 0.5)
+    assert actions[0].reason is RefusalReason.NO_HEALTHY_TARGET
+    assert actions[0].retry_at == sick_row(core).ejected_until
