--- a/citronspring/balancer.py
+++ b/citronspring/balancer.py
@@ -4,8 +4,10 @@
 
 from typing import TYPE_CHECKING
 
+from citronspring.control.messages import Loads
 from citronspring.entities import HostState
 from citronspring.messages import (
+    ControlReceived,
     HostListRead,
     LeaveRequested,
     PacketReceived,
@@ -23,6 +25,7 @@
     target_unreachable,
 )
 from citronspring.systems.idle import put_idle_to_sleep
+from citronspring.systems.loads import take_loads, tell_loads
 from citronspring.systems.openings import expire_openings
 from citronspring.systems.ownership import renew_ring
 from citronspring.systems.revisions import apply_records, apply_snapshot
@@ -94,6 +97,8 @@
                 apply_snapshot(tables, event.snapshot, now)
             case RecordsRead():
                 apply_records(tables, event.records, now)
+            case ControlReceived(message=Loads() as loads):
+                take_loads(tables, event.sender, loads, now)
             case ProbeResult():
                 take_probe_result(tables, event, now)
             case TargetUnreachable():
@@ -115,6 +120,7 @@
         expire_hints(tables, now)
         put_idle_to_sleep(tables, now)
         request_probes(tables, now, actions)
+        tell_loads(tables, now, actions)
         check_leaving(tables, now, actions)
         return actions
 
--- a/citronspring/control/messages.py
+++ b/citronspring/control/messages.py
@@ -101,6 +101,8 @@
     """How much of its limits an account uses at the sending host."""
 
     account_id: str
+    #: Open flows the sender promises to stay within for some seconds; its whole
+    #: part of the limit, or what it holds beyond it, if it promises nothing.
     open_flows: int
 
 
--- a/citronspring/systems/health.py
+++ b/citronspring/systems/health.py
@@ -47,7 +47,7 @@
 #: Results in a row that a prober needs to change its mind.
 PROBES_TO_CHANGE = 2
 
-#: Seconds a prober's note counts; two probes may be lost.
+#: Seconds a probe's result counts; two probes may be lost.
 NOTE_LIFETIME = 7.0
 
 #: How much a reported load of 1.0 makes a target look fuller. Small, since load
@@ -189,18 +189,19 @@
             healthy = note.healthy
         else:
             contrary = 0
-    take_note(tables, row, tables.host_id, healthy, event.load, now)
+    deadline = now + NOTE_LIFETIME
+    take_note(row, tables.host_id, healthy, event.load, now, deadline)
     assert row.notes is not None
     row.notes[tables.host_id].contrary = contrary
 
 
 def take_note(
-    tables: Tables,
     row: TargetRow,
     prober: str,
     healthy: bool,
     load: float | None,
     now: float,
+    deadline: float,
 ) -> None:
     """Keep what a prober says of a target."""
     if row.notes is None:
@@ -209,7 +210,7 @@
     since = now
     if earlier is not None and earlier.deadline > now and earlier.healthy == healthy:
         since = earlier.since
-    row.notes[prober] = ProbeNote(healthy, load, since, now + NOTE_LIFETIME)
+    row.notes[prober] = ProbeNote(healthy, load, since, deadline)
 
 
 def target_unreachable(tables: Tables, target_id: str, now: float) -> None:
--- a/citronspring/systems/idle.py
+++ b/citronspring/systems/idle.py
@@ -26,6 +26,12 @@
     account.idle_from = now + IDLE_AFTER
 
 
+def keep_awake(tables: Tables, account: AccountRow, now: float) -> None:
+    """Have the account looked at for a while, though it holds no row here."""
+    wake(tables, account, now)
+    account.idle_from = now + IDLE_AFTER
+
+
 def put_idle_to_sleep(tables: Tables, now: float) -> None:
     """Take accounts that did nothing for long off the list of active ones."""
     due = [row for row in tables.active_accounts.values() if row.idle_from <= now]
--- /dev/null
+++ b/citronspring/systems/loads.py
@@ -0,0 +1,245 @@
+"""Loads: owners tell each other what they placed, within a byte budget.
+
+Twice a second a host tells one peer, each in turn, what changed since it last told
+that peer. What peers told is summed up in the target rows; it vanishes with the
+peer, or when it was not repeated for long.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from citronspring.control.messages import AccountUse, Loads, TargetLoad
+from citronspring.messages import SendControl
+from citronspring.systems.health import PROBE_INTERVAL, take_note
+from citronspring.systems.idle import keep_awake
+from citronspring.systems.limits import is_pressed, promise, take_promise
+from citronspring.tables import RemoteCount, ToldLoad
+
+if TYPE_CHECKING:
+    from citronspring.messages import Action
+    from citronspring.tables import AccountRow, Tables, TargetRow
+
+#: Seconds between two messages of a host.
+TELL_INTERVAL = 0.5
+
+#: Entries of one message. With 12 bytes each, 60 for the message itself, and two
+#: messages a second, a host spends less than 1 KB/s.
+ENTRIES = 36
+USE_ENTRIES = 12
+
+#: Seconds after which an unchanged entry is told again, as datagrams get lost.
+REPEAT_INTERVAL = 30.0
+
+#: Seconds that a told count stands; several repetitions.
+COUNT_LIFETIME = 120.0
+
+#: Seconds without any message after which a peer's flows count as unknown.
+SILENCE = 45.0
+
+#: Each second that an entry waits is as urgent as this many flows of change.
+FLOWS_PER_SECOND = 0.05
+
+#: A probed state is as urgent as this many flows of change.
+NOTE_URGENCY = 8.0
+
+#: One byte of load stands for 0.0 to 2.0.
+LOAD_SCALE = 127.5
+LOAD_MAX = 255
+
+
+@dataclass(slots=True)
+class Candidate:
+    """An entry that may go into the next message."""
+
+    urgency: float
+    entry: TargetLoad
+
+
+def tell_loads(tables: Tables, now: float, actions: list[Action]) -> None:
+    """Tell the peer whose turn it is what changed."""
+    loads = tables.loads
+    if loads.ring_version != tables.ring.version:
+        loads.ring_version = tables.ring.version
+        forget_departed(tables)
+        count_silent_peers(tables, now)
+    if now < loads.tell_at:
+        return
+    loads.tell_at = now + TELL_INTERVAL
+    peers = [name for name in tables.ring.members if name != tables.host_id]
+    count_silent_peers(tables, now)
+    if not peers:
+        return
+    loads.turn += 1
+    peer = peers[loads.turn % len(peers)]
+    expire_counts(tables, peer, now)
+    message = message_for(tables, peer, now)
+    if message.targets or message.accounts:
+        tables.counters["loads.entries"] += len(message.targets) + len(message.accounts)
+        tables.counters["loads.messages"] += 1
+        actions.append(SendControl(peer, message))
+
+
+def message_for(tables: Tables, peer: str, now: float) -> Loads:
+    """Return the most urgent entries for a peer, and note them as told."""
+    uses = account_uses(tables, now)
+    candidates = candidates_for(tables, peer, now)
+    candidates.sort(key=lambda item: item.urgency, reverse=True)
+    entries = [item.entry for item in candidates[: ENTRIES - len(uses)]]
+    told = tables.loads.told.setdefault(peer, {})
+    for entry in entries:
+        if entry.flows == 0 and entry.healthy is None:
+            told.pop(entry.target_id, None)
+        else:
+            told[entry.target_id] = ToldLoad(entry.flows, now)
+    return Loads(tuple(entries), uses)
+
+
+def candidates_for(tables: Tables, peer: str, now: float) -> list[Candidate]:
+    """Return every entry that the peer does not know, with its urgency."""
+    told = tables.loads.told.get(peer, {})
+    found: list[Candidate] = []
+    seen: set[str] = set()
+    for account in tables.active_accounts.values():
+        for row in account.targets:
+            target_id = row.target.target_id
+            seen.add(target_id)
+            entry = entry_of(tables, row, now)
+            urgency = urgency_of(entry, told.get(target_id), now)
+            if urgency > 0.0:
+                found.append(Candidate(urgency, entry))
+    for target_id, earlier in told.items():
+        if target_id not in seen:
+            entry = TargetLoad(target_id, 0)
+            found.append(Candidate(urgency_of(entry, earlier, now), entry))
+    return found
+
+
+def entry_of(tables: Tables, row: TargetRow, now: float) -> TargetLoad:
+    """Return what this host knows of a target at first hand."""
+    target_id = row.target.target_id
+    note = None if row.notes is None else row.notes.get(tables.host_id)
+    if note is None or note.deadline <= now:
+        return TargetLoad(target_id, row.flows)
+    load = None
+    if note.load is not None:
+        load = min(LOAD_MAX, max(0, round(note.load * LOAD_SCALE)))
+    return TargetLoad(target_id, row.flows, load, note.healthy)
+
+
+def urgency_of(entry: TargetLoad, told: ToldLoad | None, now: float) -> float:
+    """Return how much a peer needs an entry; 0.0 if it need not be told."""
+    noted = NOTE_URGENCY if entry.healthy is not None else 0.0
+    if told is None:
+        return entry.flows + noted
+    waited = now - told.told_at
+    change = abs(entry.flows - told.flows)
+    if not change and not noted and waited < REPEAT_INTERVAL:
+        return 0.0
+    return change + noted + waited * FLOWS_PER_SECOND
+
+
+def account_uses(tables: Tables, now: float) -> tuple[AccountUse, ...]:
+    """Return the uses of accounts of which some owner is pressed, some each turn."""
+    pressed = [
+        (account_id, row)
+        for account_id, row in tables.active_accounts.items()
+        if is_pressed(tables, row, now)
+    ]
+    start = tables.loads.turn * USE_ENTRIES % max(1, len(pressed))
+    chosen = (pressed[start:] + pressed[:start])[:USE_ENTRIES]
+    return tuple(
+        AccountUse(account_id, promise(tables, row, now)) for account_id, row in chosen
+    )
+
+
+# What peers tell ---------------------------------------------------------------
+
+
+def take_loads(tables: Tables, peer: str, message: Loads, now: float) -> None:
+    """Keep what a peer told."""
+    if peer not in tables.ring.positions or peer == tables.host_id:
+        tables.counters["loads.stranger"] += 1
+        return
+    tables.loads.heard_until[peer] = now + SILENCE
+    for entry in message.targets:
+        row = tables.targets.get(entry.target_id)
+        if row is not None:
+            take_entry(tables, peer, row, entry, now)
+    for use in message.accounts:
+        account = tables.accounts.get(use.account_id)
+        if account is not None:
+            take_use(tables, peer, account, use, now)
+
+
+def take_entry(
+    tables: Tables, peer: str, row: TargetRow, entry: TargetLoad, now: float
+) -> None:
+    """Keep a peer's count of a target, and its probed state."""
+    set_count(tables, peer, row, entry.flows, now)
+    if entry.flows > 0:
+        # This host may be the one that probes for the peer that has the flows.
+        keep_awake(tables, row.account, now)
+    if entry.healthy is not None and row.account.account.account_id in (
+        tables.active_accounts
+    ):
+        load = None if entry.load is None else entry.load / LOAD_SCALE
+        turns = len(tables.ring.members) * TELL_INTERVAL
+        deadline = now + 2 * PROBE_INTERVAL + 2 * turns
+        take_note(row, peer, entry.healthy, load, now, deadline)
+
+
+def set_count(
+    tables: Tables, peer: str, row: TargetRow, flows: int, now: float
+) -> None:
+    """Replace a peer's count in the sum of a target."""
+    counts = tables.loads.counts.setdefault(peer, {})
+    earlier = counts.pop(row.target.target_id, None)
+    if earlier is not None and earlier.row is row:
+        row.remote_flows -= earlier.flows
+    if flows > 0:
+        counts[row.target.target_id] = RemoteCount(row, flows, now + COUNT_LIFETIME)
+        row.remote_flows += flows
+
+
+def take_use(
+    tables: Tables, peer: str, account: AccountRow, use: AccountUse, now: float
+) -> None:
+    """Keep a peer's promise; a pressed peer needs this host's in return."""
+    if take_promise(tables, account, peer, use.open_flows, now):
+        keep_awake(tables, account, now)
+
+
+def expire_counts(tables: Tables, peer: str, now: float) -> None:
+    """Drop counts of a peer that were not repeated."""
+    counts = tables.loads.counts.get(peer, {})
+    for note in [item for item in counts.values() if item.deadline <= now]:
+        set_count(tables, peer, note.row, 0, now)
+
+
+def forget_departed(tables: Tables) -> None:
+    """Drop all that hosts told which own nothing any longer.
+
+    Their flows are counted by the owners that take them over; counted twice, they
+    would keep new flows away from the targets they are on.
+    """
+    loads = tables.loads
+    members = tables.ring.positions
+    for peer in [name for name in loads.counts if name not in members]:
+        for note in loads.counts.pop(peer).values():
+            note.row.remote_flows -= note.flows
+    for peer in [name for name in loads.heard_until if name not in members]:
+        del loads.heard_until[peer]
+    for peer in [name for name in loads.told if name not in members]:
+        del loads.told[peer]
+
+
+def count_silent_peers(tables: Tables, now: float) -> None:
+    """Count the owners of whose flows nothing fresh is known."""
+    heard = tables.loads.heard_until
+    tables.silent_peers = sum(
+        heard.get(name, 0.0) <= now
+        for name in tables.ring.members
+        if name != tables.host_id
+    )
--- a/citronspring/tables.py
+++ b/citronspring/tables.py
@@ -337,6 +337,42 @@
             bucket.append(flow)
 
 
+@dataclass(slots=True, frozen=True)
+class RemoteCount:
+    """Flows of a peer on a target, as it told them."""
+
+    row: TargetRow
+    flows: int
+    #: Not repeated until then, they count no longer.
+    deadline: float
+
+
+@dataclass(slots=True, frozen=True)
+class ToldLoad:
+    """What a peer was last told of a target."""
+
+    flows: int
+    told_at: float
+
+
+@dataclass(slots=True)
+class LoadTable:
+    """What peers told of their loads, and what they were told."""
+
+    #: Counts by peer and target id.
+    counts: dict[str, dict[str, RemoteCount]] = field(default_factory=dict)
+    #: By peer, until when it counts as known.
+    heard_until: dict[str, float] = field(default_factory=dict)
+    #: Entries by peer and target id.
+    told: dict[str, dict[str, ToldLoad]] = field(default_factory=dict)
+    #: When the next peer is told.
+    tell_at: float = 0.0
+    #: Messages so far; says whose turn it is.
+    turn: int = 0
+    #: Version of the ring that the peers were last compared with.
+    ring_version: int = 0
+
+
 @dataclass(slots=True)
 class Tables:
     """All state of one decision core."""
@@ -364,6 +400,7 @@
     openings: AccountedRows[OpeningRow] = field(default_factory=AccountedRows)
     walks: AccountedRows[WalkRow] = field(default_factory=AccountedRows)
     hints: dict[FlowKey, HintRow] = field(default_factory=dict)
+    loads: LoadTable = field(default_factory=LoadTable)
     #: Members of the ring of whose flows nothing fresh is known.
     silent_peers: int = 0
     #: Packets, drops and decisions by name.
--- a/tests/test_systems/test_health.py
+++ b/tests/test_systems/test_health.py
@@ -77,7 +77,8 @@
 
 
 def note_of_peer(core, healthy, now, load=None):
-    health.take_note(core.tables, sick_row(core), "host-1", healthy, load, now)
+    deadline = now + health.NOTE_LIFETIME
+    health.take_note(sick_row(core), "host-1", healthy, load, now, deadline)
 
 
 def test_shedding_target_is_left_alone_though_its_endpoint_says_healthy(snapshot):
