--- a/citronspring/systems/limits.py
+++ b/citronspring/systems/limits.py
@@ -34,8 +34,9 @@
 #: Seconds for which a peer relies on a promise after it was heard.
 PROMISE_LIFETIME = 10.0
 
-#: Seconds within which a control message arrives or never does.
-TOLD_WITHIN = 5.0
+#: Seconds within which a control message is taken or never: its age is bounded at
+#: the border to 30 seconds, also for one that waited in a frozen host's socket.
+TOLD_WITHIN = 35.0
 
 #: Seconds for which the promising host keeps it: nobody relies on it any longer,
 #: even if the message was under way for long.
--- a/citronspring/systems/loads.py
+++ b/citronspring/systems/loads.py
@@ -24,10 +24,15 @@
 #: Seconds between two messages of a host.
 TELL_INTERVAL = 0.5
 
-#: Entries of one message. With 12 bytes each, 60 for the message itself, and two
-#: messages a second, a host spends less than 1 KB/s.
-ENTRIES = 36
-USE_ENTRIES = 12
+#: Bytes of entries in one message. With the envelope and the headers of two
+#: datagrams a second, a host spends about 1 KB/s.
+MESSAGE_BYTES = 384
+
+#: Bytes of an entry beside its id.
+ENTRY_BYTES = 9
+
+#: Account uses of one message; loads are left room.
+USE_ENTRIES = 6
 
 #: Seconds after which an unchanged entry is told again, as datagrams get lost.
 REPEAT_INTERVAL = 30.0
@@ -86,7 +91,8 @@
     uses = account_uses(tables, now)
     candidates = candidates_for(tables, peer, now)
     candidates.sort(key=lambda item: item.urgency, reverse=True)
-    entries = [item.entry for item in candidates[: ENTRIES - len(uses)]]
+    used = sum(ENTRY_BYTES + len(use.account_id) for use in uses)
+    entries = first_that_fit(candidates, MESSAGE_BYTES - used)
     told = tables.loads.told.setdefault(peer, {})
     for entry in entries:
         if entry.flows == 0 and entry.healthy is None:
@@ -96,6 +102,17 @@
     return Loads(tuple(entries), uses)
 
 
+def first_that_fit(candidates: list[Candidate], room: int) -> list[TargetLoad]:
+    """Return the entries from the front that fit into a number of bytes."""
+    entries: list[TargetLoad] = []
+    for candidate in candidates:
+        room -= ENTRY_BYTES + len(candidate.entry.target_id)
+        if room < 0:
+            break
+        entries.append(candidate.entry)
+    return entries
+
+
 def candidates_for(tables: Tables, peer: str, now: float) -> list[Candidate]:
     """Return every entry that the peer does not know, with its urgency."""
     told = tables.loads.told.get(peer, {})
