--- a/citronspring/systems/placement.py
+++ b/citronspring/systems/placement.py
@@ -33,7 +33,6 @@
 #: mean load: nothing like a reset tells where it lives once both copies are lost.
 DATAGRAM_LOAD_BOUND = 1.25
 
-
 #: Times the mean load that the last healthy targets take before those that health
 #: speaks against are used again.
 PANIC_LOAD = 4.0
@@ -91,6 +90,13 @@
     return calm or free
 
 
+def may_take(tables: Tables, row: TargetRow, now: float) -> bool:
+    """Whether configuration, health and limits let the target take a new flow."""
+    configured = not row.target.leaving and row.placeable_from <= now
+    sound = not is_out(tables, row, now)
+    return configured and sound and has_room(tables, row)
+
+
 def choose_target(
     tables: Tables,
     flow: FlowKey,
