--- a/citronspring/balancer.py
+++ b/citronspring/balancer.py
@@ -11,9 +11,11 @@
     HostListRead,
     LeaveRequested,
     PacketReceived,
+    ProbeResult,
     RecordsRead,
     RelayReceived,
     SnapshotRead,
+    TargetUnreachable,
 )
 from citronspring.systems.bulk import run_bulk
 from citronspring.systems.control import receive_control
@@ -25,6 +27,13 @@
     is_fenced,
     run_fence,
 )
+from citronspring.systems.health import (
+    request_probes,
+    take_probe_result,
+    target_unreachable,
+)
+from citronspring.systems.idle import put_idle_to_sleep
+from citronspring.systems.loads import tell_loads
 from citronspring.systems.membership import run_membership, take_host_list
 from citronspring.systems.openings import expire_openings
 from citronspring.systems.ownership import renew_ring
@@ -128,6 +137,10 @@
             case RecordsRead():
                 accept_records(tables, event.records, now)
                 hear_platform(tables, event.asked_at)
+            case ProbeResult():
+                take_probe_result(tables, event, now)
+            case TargetUnreachable():
+                target_unreachable(tables, event.target_id, now)
             case HostListRead():
                 take_host_list(tables, event, now)
             case LeaveRequested():
@@ -148,6 +161,9 @@
         expire_walks(tables, now, actions)
         expire_flows(tables, now)
         expire_hints(tables, now)
+        put_idle_to_sleep(tables, now)
+        request_probes(tables, now, actions)
+        tell_loads(tables, now, actions)
         check_leaving(tables, now, actions)
         return actions
 
@@ -173,6 +189,7 @@
             },
             "accounts": {
                 account_id: {
+                    "active": account_id in tables.active_accounts,
                     "open_flows": row.open_flows,
                     "targets": {
                         target.target.target_id: {
@@ -180,6 +197,8 @@
                             "remote_flows": target.remote_flows,
                             "leaving": target.target.leaving,
                             "ejected_until": target.ejected_until,
+                            "on_probation": target.on_probation,
+                            "warm_at": target.warm_at,
                         }
                         for target in row.targets
                     },
