--- a/tests/test_configuration/stepping.py
+++ b/tests/test_configuration/stepping.py
@@ -62,6 +62,8 @@
         self.result = None
         self.error = None
         self.done = False
+        #: Whether it has come to its first write, for tests that note it.
+        self.writing = False
         self.step()
 
     def step(self) -> None:
