--- /dev/null
+++ b/citronspring/systems/ownership.py
@@ -0,0 +1,46 @@
+"""Ownership: which hosts own flows, and what changes when that changes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from citronspring.entities import HostState
+from citronspring.systems.binding import BACKUP_LIFETIME, COUNTED_STATES, count, owns
+from citronspring.tables import FlowState
+
+if TYPE_CHECKING:
+    from citronspring.entities import FlowKey
+    from citronspring.tables import FlowRow, Tables
+
+#: A suspect host still owns its flows: it may only be slow, and moving flows
+#: twice costs more than a short wait.
+OWNING_STATES = (HostState.ALIVE, HostState.SUSPECT)
+
+
+def renew_ring(tables: Tables, now: float) -> None:
+    """Bring owners in line with the membership view."""
+    members = [
+        host_id
+        for host_id, row in tables.hosts.items()
+        if row.host.group == tables.group and row.state in OWNING_STATES
+    ]
+    # The last host keeps what it has: to own nothing would drop every packet.
+    if tables.ring.update(members or [tables.host_id]):
+        tables.counters["ring.changes"] += 1
+        for flow, row in tables.flows.rows.items():
+            resort_flow(tables, flow, row, now)
+
+
+def resort_flow(tables: Tables, flow: FlowKey, row: FlowRow, now: float) -> None:
+    """Stop counting a flow that another host owns now.
+
+    A flow counted by its old and its new owner would show its target as fuller
+    than it is, and new flows would keep away from it. A copy is counted only when
+    a packet shows that the flow lives: nothing told its holder of flows that ended,
+    and all of them at once would look like a full account.
+    """
+    if row.state in COUNTED_STATES and not owns(tables, flow):
+        count(row, -1)
+        row.state = FlowState.BACKUP
+        row.deadline = min(row.deadline, now + BACKUP_LIFETIME)
+        tables.openings.pop(flow, None)
