--- a/citronspring/standins/serving.py
+++ b/citronspring/serving.py
@@ -4,6 +4,7 @@
 
 import socket
 from contextlib import contextmanager
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 import anyio
@@ -16,10 +17,24 @@
 
     from anyio.abc import TaskStatus
 
+
+@dataclass(frozen=True, slots=True)
+class TlsFiles:
+    """PEM files of a server's certificate and its key."""
+
+    certificate: str
+    key: str
+
+
 #: Seconds that open requests get when the server stops.
 SHUTDOWN_SECONDS = 1
 
 
+#: Connections at once; beyond it a client gets 503. Each takes memory and a file
+#: descriptor, and a host needs both for packets.
+MAX_CONNECTIONS = 512
+
+
 class ApplicationServer(uvicorn.Server):
     """A server that leaves signals to the process and reports its start."""
 
@@ -41,13 +56,14 @@
 async def serve_application(
     application: Any,
     endpoint: Endpoint,
+    tls: TlsFiles | None = None,
     *,
     task_status: TaskStatus[Endpoint] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve an ASGI application until cancelled.
 
     The task starts with the endpoint it listens on: port 0 stands for any free
-    port.
+    port. Without TLS files it serves in clear text.
     """
     listener = bind(endpoint)
     ip, port = listener.getsockname()[:2]
@@ -58,7 +74,10 @@
         lifespan="off",
         log_config=None,
         access_log=False,
+        limit_concurrency=MAX_CONNECTIONS,
         timeout_graceful_shutdown=SHUTDOWN_SECONDS,
+        ssl_certfile=tls.certificate if tls else None,
+        ssl_keyfile=tls.key if tls else None,
     )
     server = ApplicationServer(config)
     with listener:
--- a/citronspring/standins/platform.py
+++ b/citronspring/standins/platform.py
@@ -20,7 +20,7 @@
 from citronspring.platform.http import VERSION_HEADER, WATCH_SECONDS
 from citronspring.platform.memory import MemoryPlatform, Switches
 from citronspring.platform.port import ABSENT
-from citronspring.standins.serving import serve_application
+from citronspring.serving import serve_application
 
 if TYPE_CHECKING:
     from anyio.abc import TaskStatus
