--- a/citronspring/settings.py
+++ b/citronspring/settings.py
@@ -117,9 +117,9 @@
     """The platform's key-value service."""
 
     url: Annotated[str, AfterValidator(check_url)]
-    #: Zones that accounts may name; an address moves to another account only when
-    #: each of them has confirmed that it left. Empty allows any zone.
-    zones: tuple[Name, ...] = ()
+    #: Every availability zone; an address moves between client accounts only
+    #: once all of them have let it go.
+    zones: Annotated[tuple[Name, ...], Field(min_length=1)]
 
 
 class LimitsSection(Section):
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -26,7 +26,10 @@
         "control": "10.0.0.1:6082",
     },
     "fabric": {"gateway": "10.0.9.1:6080", "sources": ["10.0.9.2"]},
-    "platform": {"url": "http://10.0.9.9:8500"},
+    "platform": {
+        "url": "http://10.0.9.9:8500",
+        "zones": ["drukkerij", "zetterij"],
+    },
     "peers": [
         {
             "id": "zetterij-1",
