Serve the administration API on every host

Cause: operators could change nothing without code of their own. Starlette on uvicorn in the host's own task group: templates, accounts with if_revision and change id, history, drain and undrain of targets, graceful stop, status, dump, metrics, OpenAPI. Tokens with roles are compared by digest in constant time, each token has its own rate; bodies are bounded in size and time; errors are problem documents, one status per kind in one table. During an outage the answer says whether nothing was changed or the outcome is unknown. Without a token it listens on loopback only, logs that, and refuses web pages.

--- /dev/null
+++ b/citronspring/admin/application.py
@@ -0,0 +1,62 @@
+"""The ASGI application of the administration API."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+from starlette.applications import Starlette
+from starlette.exceptions import HTTPException
+
+from citronspring.admin import configuration, status
+from citronspring.admin.errors import MalformedRequestError, MethodNotAllowedError
+from citronspring.admin.openapi import describe
+from citronspring.admin.operations import Administration, Call, Operation
+from citronspring.admin.problems import JsonResponse, problem_of
+from citronspring.admin.tokens import Callers, Role
+from citronspring.errors import CitronspringError, NotFoundError
+
+if TYPE_CHECKING:
+    from starlette.requests import Request
+    from starlette.responses import Response
+
+    from citronspring.admin.port import Configuration, HostProcess
+
+
+async def show_openapi(call: Call) -> Response:
+    """Answer with the OpenAPI document."""
+    return JsonResponse(describe(OPERATIONS))
+
+
+#: Every operation of the API.
+OPERATIONS = (
+    *configuration.OPERATIONS,
+    *status.OPERATIONS,
+    Operation(
+        "GET", "/v1/openapi.json", Role.READ, show_openapi, "Show this API as OpenAPI."
+    ),
+)
+
+
+def make_application(host: HostProcess, store: Configuration) -> Starlette:
+    """Make the application of one host; raises SettingsError on its tokens."""
+    callers = Callers.from_settings(host.settings.admin)
+    administration = Administration(host, store, callers)
+    routes = [operation.to_route(administration) for operation in OPERATIONS]
+    return Starlette(routes=routes, exception_handlers={HTTPException: answer_http})
+
+
+async def answer_http(request: Request, error: Exception) -> Response:
+    """Answer what Starlette itself refuses."""
+    return problem_of(error_of(error))
+
+
+def error_of(error: Exception) -> CitronspringError:
+    """Return the typed error of one that Starlette raised."""
+    match error:
+        case HTTPException(status_code=HTTPStatus.NOT_FOUND):
+            return NotFoundError("no such path", "see /v1/openapi.json")
+        case HTTPException(status_code=HTTPStatus.METHOD_NOT_ALLOWED):
+            message = "the path does not take this method"
+            return MethodNotAllowedError(message, "see /v1/openapi.json")
+    return MalformedRequestError("the request is not HTTP", "see /v1/openapi.json")
--- /dev/null
+++ b/citronspring/admin/problems.py
@@ -0,0 +1,117 @@
+"""Errors as problem documents (RFC 9457)."""
+
+from __future__ import annotations
+
+import json
+import math
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Any
+
+from starlette.responses import Response
+
+from citronspring.admin.errors import RateLimitedError
+from citronspring.errors import (
+    ConflictError,
+    MoveRefusedError,
+    OutcomeUnknownError,
+    PlatformUnavailableError,
+)
+
+if TYPE_CHECKING:
+    from citronspring.errors import CitronspringError
+
+#: Status of each kind of error.
+STATUS_BY_KIND = {
+    "malformed-request": HTTPStatus.BAD_REQUEST,
+    "unauthorized": HTTPStatus.UNAUTHORIZED,
+    "forbidden": HTTPStatus.FORBIDDEN,
+    "not-found": HTTPStatus.NOT_FOUND,
+    "method-not-allowed": HTTPStatus.METHOD_NOT_ALLOWED,
+    "request-timeout": HTTPStatus.REQUEST_TIMEOUT,
+    "conflict": HTTPStatus.CONFLICT,
+    "move-refused": HTTPStatus.CONFLICT,
+    "body-too-large": HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    "invalid-configuration": HTTPStatus.UNPROCESSABLE_ENTITY,
+    "rate-limited": HTTPStatus.TOO_MANY_REQUESTS,
+    "platform-unavailable": HTTPStatus.SERVICE_UNAVAILABLE,
+    "outcome-unknown": HTTPStatus.SERVICE_UNAVAILABLE,
+    "stored-value": HTTPStatus.BAD_GATEWAY,
+    "internal": HTTPStatus.INTERNAL_SERVER_ERROR,
+}
+
+#: Seconds after which a client may ask again while the platform is out.
+OUTAGE_RETRY_SECONDS = 2
+
+MEDIA_TYPE = "application/problem+json"
+
+
+class JsonResponse(Response):
+    """JSON that no text of an operator can make unencodable."""
+
+    media_type = "application/json"
+
+    def render(self, content: Any) -> bytes:
+        """Return the body."""
+        return json.dumps(content, allow_nan=False).encode("ascii")
+
+
+class ProblemResponse(JsonResponse):
+    """A problem document."""
+
+    media_type = MEDIA_TYPE
+
+
+def problem_of(error: CitronspringError, change_id: str = "") -> ProblemResponse:
+    """Return the answer to a request that met an error.
+
+    Parameters
+    ----------
+    error : CitronspringError
+        What is wrong.
+    change_id : str
+        The change of the request, so that the client can send it again.
+    """
+    status = STATUS_BY_KIND.get(error.kind, HTTPStatus.INTERNAL_SERVER_ERROR)
+    body = {
+        "type": f"urn:citronspring:problem:{error.kind}",
+        "title": status.phrase,
+        "status": status.value,
+        "kind": error.kind,
+        "detail": error.message,
+        "remedy": error.remedy,
+        **details_of(error),
+    }
+    if change_id:
+        body["change_id"] = change_id
+    return ProblemResponse(body, status.value, headers_of(error))
+
+
+def details_of(error: CitronspringError) -> dict[str, Any]:
+    """Return the members that only some kinds have."""
+    match error:
+        case ConflictError():
+            return {
+                "other_change_id": error.change_id,
+                "other_revision": error.revision,
+                "difference": list(error.difference),
+                "changed": "nothing",
+            }
+        case MoveRefusedError():
+            return {"zones": list(error.zones), "changed": "nothing"}
+        case OutcomeUnknownError():
+            return {"changed": "unknown"}
+        case PlatformUnavailableError():
+            return {"changed": "nothing"}
+    return {}
+
+
+def headers_of(error: CitronspringError) -> dict[str, str]:
+    """Return the headers that tell a client what to do next."""
+    match error:
+        case RateLimitedError():
+            return {"Retry-After": str(max(1, math.ceil(error.wait_seconds)))}
+        case PlatformUnavailableError() | OutcomeUnknownError():
+            return {"Retry-After": str(OUTAGE_RETRY_SECONDS)}
+    if error.kind == "unauthorized":
+        return {"WWW-Authenticate": "Bearer"}
+    return {}
--- /dev/null
+++ b/citronspring/admin/status.py
@@ -0,0 +1,117 @@
+"""Operations that show or stop this host; none needs the platform."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from prometheus_client import CONTENT_TYPE_LATEST
+from starlette.responses import Response
+
+from citronspring import __version__
+from citronspring.admin.operations import Call, Operation, accepted, wait_of
+from citronspring.admin.problems import JsonResponse
+from citronspring.admin.tokens import Role
+from citronspring.entities import HostState
+from citronspring.metrics import metrics_text
+
+if TYPE_CHECKING:
+    from citronspring.tables import Tables
+
+
+async def show_status(call: Call) -> Response:
+    """Answer with what this host knows of the whole system."""
+    return JsonResponse(describe_status(call.host.core.tables, call.host.clock()))
+
+
+def describe_status(tables: Tables, now: float) -> dict[str, object]:
+    """Return revisions, zones, leaving hosts and ejected targets."""
+    return {
+        "version": __version__,
+        "host": tables.host_id,
+        "revision": tables.revision,
+        "accounts": len(tables.accounts),
+        "flows": len(tables.flows.rows),
+        "hosts": describe_hosts(tables),
+        "zones": describe_zones(tables),
+        "leaving": [
+            host_id
+            for host_id, row in sorted(tables.hosts.items())
+            if row.state is HostState.LEAVING
+        ],
+        "ejected": [
+            {
+                "account_id": row.target.account_id,
+                "target_id": target_id,
+                "seconds_left": wait_of(row.ejected_until, now),
+            }
+            for target_id, row in sorted(tables.targets.items())
+            if row.ejected_until > now
+        ],
+    }
+
+
+def describe_hosts(tables: Tables) -> list[dict[str, object]]:
+    """Return a row for each host known here."""
+    return [
+        {
+            "host": host_id,
+            "zone": row.host.zone,
+            "state": row.state.value,
+            "revision": row.revision,
+        }
+        for host_id, row in sorted(tables.hosts.items())
+    ]
+
+
+def describe_zones(tables: Tables) -> list[dict[str, object]]:
+    """Return how many hosts of each zone are alive, and their lowest revision."""
+    zones: dict[str, list[int]] = {}
+    for row in tables.hosts.values():
+        revisions = zones.setdefault(row.host.zone, [])
+        if row.state is not HostState.DEAD:
+            revisions.append(row.revision)
+    return [
+        {"zone": zone, "hosts": len(revisions), "revision": min(revisions, default=0)}
+        for zone, revisions in sorted(zones.items())
+    ]
+
+
+async def show_dump(call: Call) -> Response:
+    """Answer with the state of this process."""
+    return JsonResponse(call.host.dump())
+
+
+async def drain_host(call: Call) -> Response:
+    """Start a graceful stop of this host."""
+    call.host.leave()
+    tables = call.host.core.tables
+    deadline = tables.leave_deadline or call.host.clock()
+    wait = wait_of(deadline, call.host.clock())
+    return accepted({"host": tables.host_id, "seconds_left": wait})
+
+
+async def show_metrics(call: Call) -> Response:
+    """Answer with the metrics for Prometheus."""
+    return Response(metrics_text(call.host.core), media_type=CONTENT_TYPE_LATEST)
+
+
+OPERATIONS = (
+    Operation(
+        "GET",
+        "/v1/status",
+        Role.READ,
+        show_status,
+        "Show revisions, zones, leaving hosts and ejected targets as known here.",
+    ),
+    Operation("GET", "/v1/dump", Role.READ, show_dump, "Dump the state of this host."),
+    Operation(
+        "POST",
+        "/v1/host/drain",
+        Role.OPERATE,
+        drain_host,
+        "Stop this host gracefully: it leaves, serves what is in flight, and exits.",
+    ),
+    Operation(
+        "GET", "/metrics", Role.READ, show_metrics, "Show metrics for Prometheus."
+    ),
+)
--- /dev/null
+++ b/citronspring/admin/tokens.py
@@ -0,0 +1,153 @@
+"""Bearer tokens, their roles and their rates."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import os
+from dataclasses import dataclass, field
+from enum import IntEnum
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from citronspring.admin.errors import RateLimitedError, UnauthorizedError
+from citronspring.errors import SettingsError
+from citronspring.tables import PacedLimit
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from citronspring.settings import AdminSection, TokenSection
+
+#: Shortest token, characters. A shorter one could be found by trying.
+SHORTEST_TOKEN = 16
+
+#: Who the author of a change is where no token is configured.
+LOOPBACK_NAME = "loopback"
+
+SCHEME = "bearer "
+
+
+class Role(IntEnum):
+    """What a token allows; a higher role allows what the lower ones do."""
+
+    READ = 1
+    OPERATE = 2
+
+
+@dataclass(slots=True)
+class Caller:
+    """Who makes requests."""
+
+    #: The author of changes.
+    name: str
+    role: Role
+    #: SHA-256 of the token; empty where none is needed.
+    digest: bytes = field(default=b"", repr=False)
+    limit: PacedLimit = field(default_factory=PacedLimit)
+
+
+@dataclass(slots=True)
+class Callers:
+    """Everyone who may make requests."""
+
+    callers: tuple[Caller, ...]
+    requests_per_second: float
+    burst: int
+
+    @classmethod
+    def from_settings(cls, section: AdminSection) -> Callers:
+        """Read the tokens; without any, whoever reaches loopback may do all.
+
+        Raises
+        ------
+        SettingsError
+            Naming the token, never its value.
+        """
+        callers = tuple(read_caller(token) for token in section.tokens)
+        check_different(callers)
+        if not callers:
+            callers = (Caller(LOOPBACK_NAME, Role.OPERATE),)
+        return cls(callers, section.requests_per_second, section.burst)
+
+    @property
+    def open(self) -> bool:
+        """Whether no token is configured."""
+        return not self.callers[0].digest
+
+    def authenticate(self, authorization: str) -> Caller:
+        """Return who an ``Authorization`` header belongs to.
+
+        Every token is compared, each in constant time: the time of the answer
+        tells neither how much of a guess is right nor which token it is near.
+        """
+        if self.open:
+            return self.callers[0]
+        given = digest_of(credentials_of(authorization))
+        found = None
+        for caller in self.callers:
+            if hmac.compare_digest(given, caller.digest):
+                found = caller
+        if found is None:
+            raise UnauthorizedError(
+                "no known token", "send 'Authorization: Bearer TOKEN'"
+            )
+        return found
+
+    def admit(self, caller: Caller, now: float) -> None:
+        """Count a request; raises RateLimitedError beyond the rate."""
+        if caller.limit.admit(now, self.requests_per_second, self.burst):
+            return
+        retry_at = caller.limit.retry_at(self.requests_per_second, self.burst)
+        raise RateLimitedError(
+            f"{caller.name} makes more than {self.requests_per_second:g} requests a "
+            "second",
+            "wait as long as Retry-After says",
+            wait_seconds=retry_at - now,
+        )
+
+
+def credentials_of(authorization: str) -> bytes:
+    """Return the token of a header, empty when it has none."""
+    if not authorization.lower().startswith(SCHEME):
+        return b""
+    return authorization[len(SCHEME) :].strip().encode("latin-1", "replace")
+
+
+def digest_of(token: bytes) -> bytes:
+    """Return the digest under which a token is kept and compared."""
+    return hashlib.sha256(token).digest()
+
+
+def read_caller(section: TokenSection) -> Caller:
+    """Read one token from its file or environment variable."""
+    token = read_token(section).strip()
+    if len(token) < SHORTEST_TOKEN:
+        message = f"admin.tokens: {section.name} has fewer than {SHORTEST_TOKEN} bytes"
+        raise SettingsError(message, "make a random one: openssl rand -hex 32")
+    return Caller(section.name, Role[section.role.upper()], digest_of(token))
+
+
+def read_token(section: TokenSection) -> bytes:
+    """Return a token's value."""
+    if section.env is not None:
+        if section.env not in os.environ:
+            message = f"admin.tokens: {section.name}: {section.env} is not set"
+            raise SettingsError(message, f"export {section.env} before the start")
+        return os.environb[section.env.encode()]
+    try:
+        return Path(section.file or "").read_bytes()
+    except (OSError, ValueError) as error:
+        reason = getattr(error, "strerror", None) or "no usable name"
+        message = f"admin.tokens: {section.name}: {section.file!r}: {reason}"
+        raise SettingsError(message, "name a readable file") from None
+
+
+def check_different(callers: Iterable[Caller]) -> None:
+    """Refuse one token under two names: its author and role would be a guess."""
+    seen: dict[bytes, str] = {}
+    for caller in callers:
+        if caller.digest in seen:
+            message = f"admin.tokens: {caller.name} and {seen[caller.digest]} are equal"
+            raise SettingsError(message, "give each its own token")
+        seen[caller.digest] = caller.name
--- a/citronspring/cli/serve.py
+++ b/citronspring/cli/serve.py
@@ -6,12 +6,13 @@
 from typing import TYPE_CHECKING
 
 import anyio
-import structlog
 from absl import flags
 
+from citronspring.admin.server import serve_administration
 from citronspring.configuration.store import ConfigurationStore
 from citronspring.daemons.host import HostDaemon, watch_signals
 from citronspring.errors import SettingsError
+from citronspring.logs import configure_logs
 from citronspring.platform.http import PlatformClient
 from citronspring.settings import Settings
 
@@ -20,14 +21,13 @@
 
 SETTINGS = flags.DEFINE_string("settings", None, "TOML file with a host's settings")
 
-logger = structlog.get_logger(__name__)
-
 
 def serve(arguments: Sequence[str]) -> int:
     """Run an entry host until it is told to stop."""
     if SETTINGS.value is None:
         raise SettingsError("no settings file", "give --settings=FILE")
     settings = Settings.from_toml(Path(SETTINGS.value))
+    configure_logs(settings.logs)
     anyio.run(run_host, settings)
     return 0
 
@@ -38,7 +38,8 @@
         store = ConfigurationStore.from_platform(platform, settings.platform.zones)
         daemon = HostDaemon.from_settings(settings, store.read_snapshot)
         async with anyio.create_task_group() as group:
-            group.start_soon(watch_signals, daemon)
+            await group.start(watch_signals, daemon)
+            await group.start(serve_administration, daemon, store)
             await daemon.run()
             group.cancel_scope.cancel()
 
--- a/citronspring/settings.py
+++ b/citronspring/settings.py
@@ -231,6 +231,19 @@
             seen[section.id] = key
         return self
 
+    @model_validator(mode="after")
+    def check_zones(self) -> Self:
+        """Refuse a host in a zone that is not listed.
+
+        Nobody would wait for such a zone before an address moves to another
+        account, and its hosts would send packets to the wrong one.
+        """
+        for key, section in self.sections():
+            if section.zone not in self.platform.zones:
+                remedy = "list it in platform.zones, or correct its spelling"
+                raise finding(f"{key}.zone", section.zone, remedy)
+        return self
+
     @model_validator(mode="after")
     def check_sockets(self) -> Self:
         """Refuse one address for two sockets: a packet would be misread."""
--- /dev/null
+++ b/tests/test_cli/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the command line."""
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -39,6 +39,14 @@
     assert len({event.name for event in found}) == len(found)
 
 
+def test_every_event_is_used():
+    package = ROOT / "citronspring"
+    sources = [path for path in package.rglob("*.py") if path.name != "events.py"]
+    text = "\n".join(path.read_text() for path in sources)
+    names = [name for name, value in vars(events).items() if isinstance(value, Event)]
+    assert [name for name in names if name not in text] == []
+
+
 def test_json_lines_carry_number_name_and_fields(capsys):
     configure_logs(LogsSection())
     log(LEAVING, deadline=5.0, number="mine", token="s3cret")
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -62,6 +62,8 @@
     ("peers.0.id", "drukkerij-1", "give each host its own"),
     ("fabric.sources", ["10.0.0.2"], "peers.0 uses this address"),
     ("fabric.gateway", "10.0.0.1:1", "host uses this address"),
+    ("peers.0.zone", "pakhuis", "platform.zones"),
+    ("platform.zones", [], "at least 1"),
     ("platform.url", "10.0.9.9:8500", "URL"),
     ("logs.level", "loud", "'debug', 'info'"),
     ("admin.key_file", "key.pem", "together"),
