--- a/citronspring/admin/server.py
+++ b/citronspring/admin/server.py
@@ -23,7 +23,7 @@
     from anyio.abc import TaskStatus
 
     from citronspring.admin.port import Configuration, HostProcess
-    from citronspring.settings import AdminSection
+    from citronspring.settings import AdminSection, Settings
 
 
 async def serve_administration(
@@ -42,8 +42,8 @@
     section = host.settings.admin
     application = make_application(host, store)
     tls = tls_files(section)
-    endpoint = listen_endpoint(section)
-    announce(section, endpoint)
+    endpoint = listen_endpoint(host.settings)
+    announce(host.settings, endpoint)
     await serve_application(application, endpoint, tls, task_status=task_status)
 
 
@@ -66,20 +66,21 @@
     raise ValueError("the key is encrypted")
 
 
-def listen_endpoint(section: AdminSection) -> Endpoint:
+def listen_endpoint(settings: Settings) -> Endpoint:
     """Return where to listen: without a token on loopback, whatever is set."""
-    wanted = section.listen
-    if section.tokens or ip_address(wanted.ip).is_loopback:
+    wanted = settings.admin_endpoint
+    if settings.admin.tokens or ip_address(wanted.ip).is_loopback:
         return wanted
     loopback = "::1" if ":" in wanted.ip else "127.0.0.1"
     return Endpoint(loopback, wanted.port)
 
 
-def announce(section: AdminSection, endpoint: Endpoint) -> None:
+def announce(settings: Settings, endpoint: Endpoint) -> None:
     """Log where the API listens, and what is weak about it."""
     log(ADMIN_LISTENING, listen=str(endpoint))
+    section = settings.admin
     if not section.tokens:
-        wanted = str(section.listen)
+        wanted = str(settings.admin_endpoint)
         log(ADMIN_LOOPBACK_ONLY, listen=str(endpoint), configured=wanted)
     elif section.certificate_file is None and not ip_address(endpoint.ip).is_loopback:
         log(ADMIN_CLEAR_TEXT, listen=str(endpoint))
--- a/citronspring/settings.py
+++ b/citronspring/settings.py
@@ -24,8 +24,8 @@
 from citronspring.errors import SettingsError
 from citronspring.settings_errors import finding, settings_error, shown
 
-#: Where the administration API listens unless the settings say otherwise.
-DEFAULT_ADMIN = Endpoint("127.0.0.1", 8440)
+#: Port of the administration API unless the settings say otherwise.
+DEFAULT_ADMIN_PORT = 8440
 
 #: Sockets of a host that must differ from every other host's.
 SOCKETS = ("tunnel", "relay", "control")
@@ -156,7 +156,8 @@
 class AdminSection(Section):
     """The administration API."""
 
-    listen: EndpointText = DEFAULT_ADMIN
+    #: Unless given, port 8440 of the address of the host's control socket.
+    listen: EndpointText | None = None
     #: PEM files; with neither, the API is served in clear text.
     certificate_file: str | None = None
     key_file: str | None = None
@@ -219,6 +220,11 @@
             message = f"{shown(path)}: {shown(error)}"
             raise SettingsError(message, "write it as TOML 1.0 in UTF-8") from None
 
+    @property
+    def admin_endpoint(self) -> Endpoint:
+        """Where the administration API is to listen."""
+        return self.admin.listen or Endpoint(self.host.control.ip, DEFAULT_ADMIN_PORT)
+
     def sections(self) -> list[tuple[str, HostSection]]:
         """Return this host and its peers with their keys."""
         peers = [(f"peers.{index}", peer) for index, peer in enumerate(self.peers)]
