Drive everything from the command line

Cause: the program knew serve, check-settings, try and version; changes needed code. Ruled out: trusting a refusal after a lost answer; it may come from a view older than the change. status names the newest revision, from which change ids are made. An address in use is a settings error that names it.

--- a/citronspring/admin/status.py
+++ b/citronspring/admin/status.py
@@ -11,6 +11,7 @@
 from citronspring.admin.operations import Call, Operation, accepted, wait_of
 from citronspring.admin.problems import JsonResponse
 from citronspring.admin.tokens import Role
+from citronspring.configuration.changes import revision_seen
 from citronspring.entities import HostState
 from citronspring.metrics import metrics_text
 
@@ -20,7 +21,18 @@
 
 async def show_status(call: Call) -> Response:
     """Answer with what this host knows of the whole system."""
-    return JsonResponse(describe_status(call.host.core.tables, call.host.clock()))
+    status = describe_status(call.host.core.tables, call.host.clock())
+    return JsonResponse(status | {"newest_revision": newest_revision(call)})
+
+
+def newest_revision(call: Call) -> int:
+    """Return the newest revision known here, in force or not.
+
+    Clients make their change ids from it: from an older one the configuration
+    could not tell that a change was never committed.
+    """
+    stored = revision_seen(call.configuration.new_change_id("status"))
+    return max(stored, call.host.core.tables.revision)
 
 
 def describe_status(tables: Tables, now: float) -> dict[str, object]:
--- a/citronspring/cli/main.py
+++ b/citronspring/cli/main.py
@@ -2,76 +2,135 @@
 
 from __future__ import annotations
 
+import os
 import sys
-from collections.abc import Callable
+from difflib import get_close_matches
 from typing import TYPE_CHECKING
 
-from absl import app, flags
-
 from citronspring import __version__
-from citronspring.cli.serve import check_settings, serve
+from citronspring.cli import changes, serve, views
+from citronspring.cli.commands import (
+    HELP_FLAGS,
+    Command,
+    find_command,
+    usage,
+)
+from citronspring.cli.exit_codes import (
+    DONE,
+    ERROR,
+    USAGE,
+    UsageError,
+    exit_code_of,
+)
 from citronspring.cli.try_command import try_system
 from citronspring.errors import CitronspringError
+from citronspring.settings_errors import shown
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Iterator, Sequence
+
+    from citronspring.cli.commands import Invocation
 
-#: Exit codes.
-EXIT_OK = 0
-EXIT_ERROR = 1
-EXIT_USAGE = 2
+#: Exit code of a program that the user interrupted.
+INTERRUPTED = 130
 
 
-def version(arguments: Sequence[str]) -> int:
+def version(invocation: Invocation) -> int:
     """Print the version."""
     print(f"citronspring {__version__}")
-    return EXIT_OK
-
-
-#: Commands by name; each takes its arguments and returns an exit code.
-COMMANDS: dict[str, Callable[[Sequence[str]], int]] = {
-    "check-settings": check_settings,
-    "serve": serve,
-    "try": try_system,
-    "version": version,
-}
-
-
-def usage() -> str:
-    """Return the list of commands, one line each."""
-    lines = ["usage: citronspring COMMAND [ARGUMENT ...] [--flag=value ...]", ""]
-    for name, command in sorted(COMMANDS.items()):
-        summary = (command.__doc__ or "").partition("\n")[0]
-        lines.append(f"  {name:16} {summary}")
-    return "\n".join(lines)
-
-
-def main(argv: Sequence[str]) -> int:
-    """Run one command."""
-    name = argv[1] if len(argv) > 1 else ""
-    command = COMMANDS.get(name)
-    if command is None:
-        print(usage(), file=sys.stderr)
-        return EXIT_USAGE
+    return DONE.code
+
+
+def run_try(invocation: Invocation) -> int:
+    """Run the small system."""
+    return try_system(invocation.arguments)
+
+
+#: Every command, in the order of the help. A new one is added here.
+COMMANDS = (
+    Command(
+        ("try",),
+        (),
+        run_try,
+        "Run a small system on loopback under failures, and judge it.",
+    ),
+    *serve.COMMANDS,
+    *changes.COMMANDS,
+    *views.COMMANDS,
+    Command(("version",), (), version, "Print the version."),
+)
+
+
+def main(words: Sequence[str]) -> int:
+    """Run one command line and return its exit code."""
+    command = find_command(COMMANDS, words)
+    if not words or wants_help(words):
+        print(command.help() if command else usage(COMMANDS, known_prefix(words)))
+        return DONE.code if words else USAGE.code
     try:
-        return command(argv[2:])
-    except CitronspringError as error:
-        print(f"citronspring: {error}", file=sys.stderr)
-        return EXIT_ERROR
+        if command is None:
+            raise unknown_command(words)
+        return command.run(command.parse(words[len(command.words) :]))
+    except BrokenPipeError:
+        # Whoever read the output has left, as `head` does; nothing is wrong.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return ERROR.code
+    except KeyboardInterrupt:
+        return INTERRUPTED
+    except Exception as error:
+        return tell(error)
+
+
+def wants_help(words: Sequence[str]) -> bool:
+    """Return whether a line asks for help."""
+    return words[0] == "help" or not HELP_FLAGS.isdisjoint(words)
+
+
+def unknown_command(words: Sequence[str]) -> UsageError:
+    """Return the error of a line that begins with no command."""
+    prefix = known_prefix(words)
+    if prefix:
+        verbs = [item.words[1] for item in COMMANDS if item.words[:1] == prefix]
+        return UsageError(f"{prefix[0]} what?", f"add one of {', '.join(verbs)}")
+    known = sorted({item.words[0] for item in COMMANDS})
+    close = get_close_matches(words[0], known, n=1)
+    remedy = f"did you mean {close[0]}?" if close else "see citronspring --help"
+    return UsageError(f"no command {shown(words[0])}", remedy)
+
+
+def known_prefix(words: Sequence[str]) -> tuple[str, ...]:
+    """Return the first word if commands begin with it."""
+    first = tuple(words[:1])
+    return first if any(item.words[:1] == first for item in COMMANDS) else ()
+
+
+def tell(error: Exception) -> int:
+    """Print an error in one line and return its exit code."""
+    for cause in causes(error):
+        if isinstance(cause, CitronspringError):
+            print(f"citronspring: {one_line(cause)}", file=sys.stderr)
+            return exit_code_of(cause)
+    first = next(causes(error))
+    text = f"{type(first).__name__}: {one_line(first)}; report it as a fault"
+    print(f"citronspring: {text}", file=sys.stderr)
+    return ERROR.code
+
+
+def causes(error: Exception) -> Iterator[Exception]:
+    """Yield an error, or what is inside groups of them."""
+    match error:
+        case ExceptionGroup():
+            for inner in error.exceptions:
+                yield from causes(inner)
+        case _:
+            yield error
+
+
+def one_line(error: Exception) -> str:
+    """Return an error's text on one line."""
+    return " ".join(str(error).split())
 
 
 def run() -> None:
     """Entry point of the installed script."""
-    try:
-        app.run(main, flags_parser=parse)
-    except flags.Error as error:
-        print(f"citronspring: {error}; see --help", file=sys.stderr)
-        sys.exit(EXIT_USAGE)
-
-
-def parse(argv: Sequence[str]) -> list[str]:
-    """Parse flags anywhere on the line; print help without running anything."""
-    if len(argv) == 1 or argv[1] in ("--help", "-h", "help"):
-        print(usage())
-        sys.exit(EXIT_OK)
-    return flags.FLAGS(argv)  # type: ignore[no-any-return]
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/citronspring/cli/output.py
@@ -0,0 +1,47 @@
+"""What commands print: tables for people, JSON for machines."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any
+
+from citronspring.settings_errors import shown
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+
+def print_json(content: Any) -> None:
+    """Print JSON."""
+    print(json.dumps(content, indent=2))
+
+
+def print_table(headings: Sequence[str], rows: Sequence[Sequence[object]]) -> None:
+    """Print rows in columns, numbers to the right."""
+    cells = [[text_of(cell) for cell in row] for row in rows]
+    widths = [
+        max(len(line[column]) for line in [headings, *cells])
+        for column in range(len(headings))
+    ]
+    print(
+        joined(
+            [f"{text:{width}}" for text, width in zip(headings, widths, strict=True)]
+        )
+    )
+    for row, texts in zip(rows, cells, strict=True):
+        print(
+            joined(
+                f"{text:>{width}}" if isinstance(cell, int) else f"{text:{width}}"
+                for cell, text, width in zip(row, texts, widths, strict=True)
+            )
+        )
+
+
+def joined(cells: Any) -> str:
+    """Return one line of a table."""
+    return "  ".join(cells).rstrip()
+
+
+def text_of(cell: object) -> str:
+    """Return a cell; what a host sent may hold no control characters."""
+    return "-" if cell is None else shown(cell)
--- /dev/null
+++ b/citronspring/cli/reference.py
@@ -0,0 +1,53 @@
+"""Write the reference page of the commands from their definitions."""
+
+from __future__ import annotations
+
+import sys
+
+from citronspring.cli.commands import Command, describe_flag
+from citronspring.cli.exit_codes import EXIT_CODES
+from citronspring.cli.main import COMMANDS
+
+INTRODUCTION = """# Commands
+
+`citronspring COMMAND`, or `python -m citronspring COMMAND`. Errors are one line on
+standard error that names the remedy. Commands that change the configuration print
+their change id on standard error before they send anything. When an answer is lost
+they send the change again under the same id, a few times and to each `--host` in
+turn; a change is committed once however often it is sent.
+
+This page is made from `citronspring.cli` by
+`python -m citronspring.cli.reference > docs/reference/commands.md`.
+
+## Exit codes
+
+| code | meaning | kinds of errors |
+|---|---|---|
+"""
+
+
+def describe(command: Command) -> list[str]:
+    """Return the lines about one command."""
+    lines = ["", f"## {command.name}", "", "```text"]
+    lines += [f"citronspring {command.line}", "```", "", command.summary]
+    if command.flags:
+        lines += ["", "| flag | meaning |", "|---|---|"]
+    for flag in command.flags:
+        text = describe_flag(flag).replace("|", "\\|")
+        lines.append(f"| `{text}` | {flag.help} |")
+    return lines
+
+
+def commands_page() -> str:
+    """Return the page."""
+    lines = [
+        f"| {item.code} | {item.meaning} | {', '.join(item.kinds)} |"
+        for item in EXIT_CODES
+    ]
+    for command in COMMANDS:
+        lines += describe(command)
+    return INTRODUCTION + "\n".join(lines) + "\n"
+
+
+if __name__ == "__main__":
+    sys.stdout.write(commands_page())
--- a/citronspring/cli/serve.py
+++ b/citronspring/cli/serve.py
@@ -6,27 +6,26 @@
 from typing import TYPE_CHECKING
 
 import anyio
-from absl import flags
 
 from citronspring.admin.server import serve_administration
+from citronspring.cli.commands import Command, TextFlag
+from citronspring.cli.exit_codes import UsageError
 from citronspring.configuration.store import ConfigurationStore
 from citronspring.daemons.host import HostDaemon, watch_signals
-from citronspring.errors import SettingsError
 from citronspring.logs import configure_logs
 from citronspring.platform.http import PlatformClient
 from citronspring.settings import Settings
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from citronspring.cli.commands import Invocation
 
-SETTINGS = flags.DEFINE_string("settings", None, "TOML file with a host's settings")
 
-
-def serve(arguments: Sequence[str]) -> int:
+def serve(invocation: Invocation) -> int:
     """Run an entry host until it is told to stop."""
-    if SETTINGS.value is None:
-        raise SettingsError("no settings file", "give --settings=FILE")
-    settings = Settings.from_toml(Path(SETTINGS.value))
+    name = invocation.flags["settings"]
+    if name is None:
+        raise UsageError("no settings file", "give --settings=FILE")
+    settings = Settings.from_toml(Path(name))
     configure_logs(settings.logs)
     anyio.run(run_host, settings)
     return 0
@@ -44,10 +43,29 @@
             group.cancel_scope.cancel()
 
 
-def check_settings(arguments: Sequence[str]) -> int:
+def check_settings(invocation: Invocation) -> int:
     """Check a settings file and say what it describes."""
-    if len(arguments) != 1:
-        raise SettingsError("no settings file", "name one: check-settings FILE")
-    settings = Settings.from_toml(Path(arguments[0]))
-    print(f"{arguments[0]}: host {settings.host.id} in zone {settings.host.zone}")
+    (name,) = invocation.arguments
+    settings = Settings.from_toml(Path(name))
+    peers = len(settings.peers)
+    print(
+        f"{name}: host {settings.host.id} in zone {settings.host.zone}, {peers} peers"
+    )
     return 0
+
+
+COMMANDS = (
+    Command(
+        ("serve",),
+        (),
+        serve,
+        "Run an entry host until it is told to stop.",
+        (TextFlag("settings", "TOML file with the host's settings."),),
+    ),
+    Command(
+        ("check-settings",),
+        ("FILE",),
+        check_settings,
+        "Check a settings file and say what it describes.",
+    ),
+)
--- /dev/null
+++ b/citronspring/cli/views.py
@@ -0,0 +1,189 @@
+"""Commands that only look: templates, accounts, status and dumps."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from citronspring.cli.changes import account_path, template_path
+from citronspring.cli.client import AdminClient
+from citronspring.cli.commands import Command
+from citronspring.cli.exit_codes import RemoteError
+from citronspring.cli.flags import ACCESS, READ
+from citronspring.cli.output import print_json, print_table
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from citronspring.cli.commands import Invocation
+
+#: Prints a host's answer for people.
+Show = "Callable[[dict[str, Any]], None]"
+
+
+def view(
+    invocation: Invocation, path: str, show: Callable[[dict[str, Any]], None]
+) -> int:
+    """Read a path and print what it holds."""
+    answer = AdminClient.from_flags(invocation).get(path)
+    if invocation.flags["output"] == "json":
+        print_json(answer)
+        return 0
+    try:
+        show(answer)
+    except (KeyError, TypeError, AttributeError):
+        message = f"{path}: the host's answer has another form"
+        raise RemoteError("error", message, "use the host's release") from None
+    return 0
+
+
+def list_templates(invocation: Invocation) -> int:
+    """List the templates."""
+    return view(invocation, "/v1/templates", show_templates)
+
+
+def show_templates(answer: dict[str, Any]) -> None:
+    """Print the templates."""
+    rows = [(row["name"], row["revision"]) for row in answer["templates"]]
+    print_table(("template", "revision"), rows)
+
+
+def show_template(invocation: Invocation) -> int:
+    """Show a template, always as JSON."""
+    (name,) = invocation.arguments
+    return view(invocation, template_path(name), print_json)
+
+
+def list_accounts(invocation: Invocation) -> int:
+    """List the client accounts."""
+    return view(invocation, "/v1/accounts", show_accounts)
+
+
+def show_accounts(answer: dict[str, Any]) -> None:
+    """Print the accounts."""
+    names = ("account_id", "template", "targets", "revision")
+    rows = [[row[name] for name in names] for row in answer["accounts"]]
+    print_table(("account", "template", "targets", "revision"), rows)
+
+
+def show_account(invocation: Invocation) -> int:
+    """Show a client account."""
+    (account_id,) = invocation.arguments
+    return view(invocation, account_path(account_id), show_one_account)
+
+
+def show_one_account(answer: dict[str, Any]) -> None:
+    """Print one account."""
+    facts = [
+        ("account", answer["account_id"]),
+        ("revision", answer["revision"]),
+        ("template", answer["template"]),
+        ("addresses", ", ".join(answer["addresses"])),
+        ("zones", ", ".join(answer["zones"])),
+        *answer["limits"].items(),
+    ]
+    print_table(("what", "value"), [(name, str(value)) for name, value in facts])
+    print()
+    names = ("target_id", "state", "zone", "tunnel", "health", "max_connections")
+    rows = [[target[name] for name in names] for target in answer["targets"]]
+    headings = ("target", "state", "zone", "tunnel", "health", "connections")
+    print_table(headings, rows)
+
+
+def show_history(invocation: Invocation) -> int:
+    """Show the last changes of a client account."""
+    (account_id,) = invocation.arguments
+    return view(invocation, f"{account_path(account_id)}/history", show_changes)
+
+
+def show_changes(answer: dict[str, Any]) -> None:
+    """Print the changes."""
+    rows = [
+        (item["revision"], item["author"], item["change_id"], line)
+        for item in answer["history"]
+        for line in item["difference"] or ["-"]
+    ]
+    print_table(("revision", "author", "change id", "what"), rows)
+
+
+def show_status(invocation: Invocation) -> int:
+    """Show hosts, zones, leaving hosts and ejected targets."""
+    return view(invocation, "/v1/status", print_status)
+
+
+def print_status(answer: dict[str, Any]) -> None:
+    """Print the status as a host sees it."""
+    print(f"as {answer['host']} sees it; revision {answer['revision']} in force there")
+    print()
+    names = ("host", "zone", "state", "revision")
+    print_table(names, [[row[name] for name in names] for row in answer["hosts"]])
+    print()
+    rows = [(row["zone"], row["hosts"], row["revision"]) for row in answer["zones"]]
+    print_table(("zone", "hosts", "lowest revision"), rows)
+    print()
+    print(f"leaving: {', '.join(answer['leaving']) or 'none'}")
+    if not answer["ejected"]:
+        print("ejected targets: none")
+        return
+    rows = [
+        (row["account_id"], row["target_id"], row["seconds_left"])
+        for row in answer["ejected"]
+    ]
+    print_table(("account", "ejected target", "seconds left"), rows)
+
+
+def dump(invocation: Invocation) -> int:
+    """Dump the state of one host, always as JSON."""
+    client = AdminClient.from_flags(invocation, invocation.arguments)
+    print_json(client.get("/v1/dump"))
+    return 0
+
+
+def drain_host(invocation: Invocation) -> int:
+    """Stop one host gracefully."""
+    client = AdminClient.from_flags(invocation, invocation.arguments)
+    answer = client.repeat("POST", "/v1/host/drain", None, "")
+    if invocation.flags["output"] == "json":
+        print_json(answer)
+    else:
+        print(f"{answer.get('host')} leaves, within {answer.get('seconds_left')} s")
+    return 0
+
+
+COMMANDS = (
+    Command(("template", "list"), (), list_templates, "List the templates.", READ),
+    Command(
+        ("template", "show"),
+        ("TEMPLATE",),
+        show_template,
+        "Show a template as JSON.",
+        READ,
+    ),
+    Command(("account", "list"), (), list_accounts, "List the client accounts.", READ),
+    Command(
+        ("account", "show"), ("ACCOUNT",), show_account, "Show a client account.", READ
+    ),
+    Command(
+        ("account", "history"),
+        ("ACCOUNT",),
+        show_history,
+        "Show the last changes of a client account, newest first.",
+        READ,
+    ),
+    Command(
+        ("host", "drain"),
+        ("HOST",),
+        drain_host,
+        "Stop the host at this URL gracefully: it leaves, then exits.",
+        ACCESS,
+    ),
+    Command(
+        ("status",),
+        (),
+        show_status,
+        "Show the revision of every host, zones, leaving hosts, ejected targets.",
+        READ,
+    ),
+    Command(
+        ("dump",), ("HOST",), dump, "Dump the state of the host at this URL.", ACCESS
+    ),
+)
--- a/citronspring/daemons/sockets.py
+++ b/citronspring/daemons/sockets.py
@@ -8,6 +8,7 @@
 import anyio
 
 from citronspring.packets import MAX_DATAGRAM
+from citronspring.serving import not_bound
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -26,11 +27,18 @@
 
 
 def bind_udp(endpoint: Endpoint) -> socket.socket:
-    """Return a non-blocking UDP socket bound to an endpoint."""
+    """Return a non-blocking UDP socket bound to an endpoint.
+
+    Raises SettingsError when the address is not free.
+    """
     sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     sock.setblocking(False)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
-    sock.bind((endpoint.ip, endpoint.port))
+    try:
+        sock.bind((endpoint.ip, endpoint.port))
+    except OSError as error:
+        sock.close()
+        raise not_bound(endpoint, error) from None
     return sock
 
 
--- a/citronspring/serving.py
+++ b/citronspring/serving.py
@@ -11,6 +11,7 @@
 import uvicorn
 
 from citronspring.entities import Endpoint
+from citronspring.errors import SettingsError
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -101,10 +102,20 @@
 
 
 def bind(endpoint: Endpoint) -> socket.socket:
-    """Open a listening socket."""
+    """Open a listening socket; raises SettingsError when the address is not free."""
     family = socket.AF_INET6 if ":" in endpoint.ip else socket.AF_INET
     listener = socket.socket(family, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.bind((endpoint.ip, endpoint.port))
+    try:
+        listener.bind((endpoint.ip, endpoint.port))
+    except OSError as error:
+        listener.close()
+        raise not_bound(endpoint, error) from None
     listener.setblocking(False)
     return listener
+
+
+def not_bound(endpoint: Endpoint, error: OSError) -> SettingsError:
+    """Make the error of an address that this process cannot have."""
+    remedy = "free the address, or change the settings"
+    return SettingsError(f"cannot listen on {endpoint}: {error.strerror}", remedy)
--- /dev/null
+++ b/tests/test_cli/conftest.py
@@ -0,0 +1,79 @@
+"""Hosts whose administration API the command line talks to."""
+
+from __future__ import annotations
+
+from contextlib import ExitStack
+from dataclasses import dataclass
+
+import pytest
+from anyio.from_thread import start_blocking_portal
+
+from citronspring.cli.main import main
+from citronspring.entities import Endpoint
+from citronspring.serving import serve_application
+from tests.test_admin.hosts import Bench, make_settings
+
+
+@dataclass
+class LosingApplication:
+    """Runs requests that change something, and loses some of the answers."""
+
+    application: object
+    losses: int = 0
+
+    async def __call__(self, scope, receive, send):
+        if scope["method"] == "GET" or self.losses == 0:
+            await self.application(scope, receive, send)
+            return
+        self.losses -= 1
+
+        async def lose(message):
+            pass
+
+        await self.application(scope, receive, lose)
+        raise ConnectionError("the answer is lost")
+
+
+@dataclass
+class Served:
+    """A host's API on a real socket, and the command line against it."""
+
+    bench: Bench
+    losing: LosingApplication
+    url: str
+    capsys: pytest.CaptureFixture[str]
+
+    def run(self, *words, code=0):
+        """Run a command; return what it printed on both streams."""
+        found = main([*words, f"--host={self.url}"])
+        out, err = self.capsys.readouterr()
+        assert found == code, (out, err)
+        return out, err
+
+
+@pytest.fixture
+def portal():
+    with start_blocking_portal() as portal:
+        yield portal
+
+
+@pytest.fixture
+def serve(portal, capsys, monkeypatch):
+    monkeypatch.setattr("citronspring.cli.client.LONGEST_WAIT", 0.01)
+    with ExitStack() as stack:
+
+        def start(settings=None):
+            bench = Bench.make(settings or make_settings())
+            losing = LosingApplication(bench.application)
+            future, endpoint = portal.start_task(
+                serve_application, losing, Endpoint("127.0.0.1", 0)
+            )
+            stack.callback(future.cancel)
+            return Served(bench, losing, f"http://{endpoint}", capsys)
+
+        yield start
+
+
+@pytest.fixture
+def served(serve):
+    return serve()
--- /dev/null
+++ b/tests/test_cli/test_commands.py
@@ -0,0 +1,164 @@
+"""Commands against a host's API over HTTP."""
+
+from __future__ import annotations
+
+import json
+
+import httpx
+import pytest
+
+from citronspring.cli.client import AdminClient
+from citronspring.cli.exit_codes import RemoteError
+from citronspring.cli.main import main
+from citronspring.errors import OutcomeUnknownError
+from tests.test_admin.hosts import (
+    EXAMPLES,
+    OPERATE_TOKEN,
+    READ_TOKEN,
+    make_settings,
+    two_tokens,
+)
+
+BUNDELPERS = str(EXAMPLES / "bundelpers.toml")
+
+
+def put_examples(served):
+    served.run("template", "put", str(EXAMPLES / "stream.toml"))
+    for account in ("bundelpers", "inzendloket"):
+        path = str(EXAMPLES / f"{account}.toml")
+        served.run("account", "put", account, path)
+
+
+def history(served):
+    out, _ = served.run("account", "history", "bundelpers", "--output=json")
+    return json.loads(out)["history"]
+
+
+def test_an_operators_session(served):
+    put_examples(served)
+    out, _ = served.run("account", "list")
+    assert out.splitlines()[1].split() == ["bundelpers", "stream", "7", "2"]
+    out, err = served.run("target", "drain", "bundelpers", "bundelpers-2")
+    assert out.endswith("target bundelpers-2 of bundelpers: committed at revision 4\n")
+    assert err.startswith("change id 3-")
+    out, _ = served.run("account", "show", "bundelpers")
+    assert "bundelpers-2  leaving" in out
+    served.run("target", "undrain", "bundelpers", "bundelpers-2")
+    out, _ = served.run("account", "history", "bundelpers")
+    assert "target bundelpers-2: leaving" in out
+    assert "stream" in served.run("template", "list")[0]
+    template = json.loads(served.run("template", "show", "stream")[0])
+    assert template["template"]["name"] == "stream"
+    out, _ = served.run("status")
+    assert "ejected targets: none" in out
+    assert "drukkerij" in out
+    served.run("account", "delete", "inzendloket")
+    out, err = served.run("account", "show", "inzendloket", code=4)
+    assert err.startswith("citronspring: ")
+
+
+def test_host_commands_take_the_host_itself(served):
+    assert main(["dump", served.url]) == 0
+    assert json.loads(served.capsys.readouterr().out)["host"] == "host-0"
+    assert main(["host", "drain", served.url.removeprefix("http://")]) == 0
+    assert "host-0 leaves, within 30 s" in served.capsys.readouterr().out
+    assert served.bench.host.left
+
+
+def test_lost_answer_is_repeated_under_the_same_change_id(served):
+    """A host commits a drain and its answer is lost on the way.
+
+    The operator must not see a failure for what is in force, nor may the repeated
+    request do it twice: the command sends the same change id and ends well.
+    """
+    put_examples(served)
+    served.losing.losses = 2
+    _, err = served.run("target", "drain", "bundelpers", "bundelpers-1")
+    change_id = err.split()[2]
+    assert [item["change_id"] for item in history(served)].count(change_id) == 1
+
+
+def test_when_every_answer_is_lost_the_outcome_is_told_as_unknown(served):
+    """All answers to a drain are lost.
+
+    Exit code 8 and the change id tell the operator what is known: perhaps. The
+    command repeated with that id ends well and the drain was made once.
+    """
+    put_examples(served)
+    served.losing.losses = 100
+    drain = ("target", "drain", "bundelpers", "bundelpers-1")
+    _, err = served.run(*drain, code=8)
+    change_id = err.split()[2]
+    assert f"--change_id={change_id}" in err
+    served.losing.losses = 0
+    served.run(*drain, f"--change_id={change_id}")
+    assert [item["change_id"] for item in history(served)].count(change_id) == 1
+
+
+def answering(*answers):
+    """Return a client whose host gives these answers, one after the other."""
+    queue = list(answers)
+
+    def respond(request):
+        answer = queue.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        status, kind = answer
+        body = {"kind": kind, "detail": kind, "remedy": "r"}
+        return httpx.Response(status, json=body)
+
+    client = httpx.Client(transport=httpx.MockTransport(respond))
+    return AdminClient(("http://host",), client, sleep=lambda seconds: None)
+
+
+def test_a_refusal_after_a_lost_answer_proves_nothing():
+    """The first answer to a change is lost, the second says "conflict".
+
+    The conflict may come from a view older than the change itself. To report
+    "refused" would say "not run" of something that perhaps ran.
+    """
+    client = answering(httpx.ReadError("gone"), (409, "conflict"))
+    with pytest.raises(OutcomeUnknownError, match="then refused: conflict"):
+        client.change("PUT", "/v1/accounts/a", {}, "1-a")
+    client = answering((409, "conflict"))
+    with pytest.raises(RemoteError):
+        client.change("PUT", "/v1/accounts/a", {}, "1-a")
+
+
+def test_outage_ends_with_nothing_changed(served):
+    put_examples(served)
+    served.bench.platform.switches.outage = True
+    _, err = served.run("target", "drain", "bundelpers", "bundelpers-1", code=7)
+    assert "changed nothing" in err
+    served.bench.platform.switches.outage = False
+    assert len(history(served)) == 1
+
+
+def test_second_operator_gets_the_others_change(served):
+    put_examples(served)
+    served.run("target", "drain", "bundelpers", "bundelpers-1")
+    words = ("account", "put", "bundelpers", BUNDELPERS, "--if_revision=2")
+    _, err = served.run(*words, code=5)
+    assert "target bundelpers-1: leaving" in err
+
+
+def test_the_next_host_is_asked_when_one_is_out(serve, capsys):
+    second = serve()
+    put_examples(second)
+    words = ["account", "list", "--host=http://127.0.0.1:1", f"--host={second.url}"]
+    assert main(words) == 0
+    assert "bundelpers" in capsys.readouterr().out
+    drain = ["target", "drain", "bundelpers", "bundelpers-1"]
+    assert main([*drain, "--host=http://127.0.0.1:1", f"--host={second.url}"]) == 0
+
+
+def test_token_files_and_their_roles(serve, tmp_path):
+    served = serve(make_settings(two_tokens(tmp_path)))
+    put = ("template", "put", str(EXAMPLES / "stream.toml"))
+    _, err = served.run(*put, code=6)
+    assert "token" in err
+    _, err = served.run(*put, f"--token_file={tmp_path / 'read'}", code=6)
+    assert "reader may not operate" in err
+    served.run(*put, f"--token_file={tmp_path / 'operate'}")
+    for token in (READ_TOKEN, OPERATE_TOKEN):
+        assert token not in err
