--- a/citronspring/daemons/host.py
+++ b/citronspring/daemons/host.py
@@ -12,7 +12,7 @@
 from citronspring.application import Application
 from citronspring.daemons.carrier import Carrier
 from citronspring.daemons.sockets import receive_forever
-from citronspring.events import SIGNAL
+from citronspring.events import LEAVING, SIGNAL
 from citronspring.logs import log, log_application, write_dump
 from citronspring.messages import LeaveRequested, SnapshotRead, Stopped
 from citronspring.metrics import MeasuredBalancer
@@ -109,6 +109,7 @@
         """Start a graceful stop."""
         deadline = self.clock() + self.settings.limits.leave_seconds
         self.core.receive(LeaveRequested(deadline), self.clock())
+        log(LEAVING, seconds=self.settings.limits.leave_seconds)
         self.application.emit("leaving", deadline)
 
     def dump(self) -> dict[str, object]:
--- a/citronspring/logs.py
+++ b/citronspring/logs.py
@@ -12,7 +12,6 @@
 
 from citronspring.events import (
     CATALOGUE,
-    LEAVING,
     REVISION_APPLIED,
     STARTED,
     STATE_DUMP,
@@ -100,16 +99,10 @@
     """Log the events of an application object."""
     application.connect("started", partial(log, STARTED))
     application.connect("stopped", partial(log, STOPPED))
-    application.connect("leaving", log_leaving)
     application.connect("revision-applied", log_revision)
     application.connect("action", log_action)
 
 
-def log_leaving(deadline: float) -> None:
-    """Write that the host leaves."""
-    log(LEAVING, deadline=deadline)
-
-
 def log_revision(revision: int) -> None:
     """Write that a revision is in force."""
     log(REVISION_APPLIED, revision=revision)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -11,9 +11,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from citronspring.configuration.models import TemplateModel
+from citronspring.configuration.rendering import render
 from citronspring.entities import Endpoint
 from citronspring.errors import SettingsError
-from citronspring.settings import Settings
+from citronspring.settings import Settings, known_keys
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
 
@@ -151,6 +153,37 @@
     assert len({host.zone for _, host in example.sections()}) == 3
 
 
+def test_the_reference_page_names_every_key():
+    page = (EXAMPLES.parent / "docs" / "reference" / "settings.md").read_text()
+    sections = set(Settings.model_fields)
+    for name in sections:
+        assert f"[{name}]" in page
+    for key in known_keys() - sections:
+        assert f"| `{key}` |" in page or f".{key}]" in page
+
+
+@pytest.mark.parametrize(
+    ("folder", "template", "accounts"),
+    [
+        ("de-waterlelie", "stream", {"bundelpers": 7, "inzendloket": 3}),
+        ("palermo", "desk", {"rintraccia": 7, "archivio": 3}),
+    ],
+)
+def test_example_accounts_are_rendered_over_all_zones(folder, template, accounts):
+    def read(name):
+        return tomllib.loads((EXAMPLES / folder / f"{name}.toml").read_text())
+
+    zones = Settings.from_toml(EXAMPLES / f"{folder}.toml").platform.zones
+    model = TemplateModel.from_config(read(template))
+    for account_id, count in accounts.items():
+        body = read(account_id)
+        assert body["template"] == template
+        account = render(model, account_id, body["parameters"])
+        assert len(account.targets) == count
+        assert {target.zone for target in account.targets} == set(zones)
+        assert set(account.zones) == set(zones)
+
+
 VALUES = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
     lambda inner: (
