--- a/tests/test_systems/test_routing.py
+++ b/tests/test_systems/test_routing.py
@@ -6,10 +6,13 @@
 
 import pytest
 
+from citronspring.balancer import Balancer
 from citronspring.entities import HostState, Protocol, ServiceAddress, Snapshot
 from citronspring.messages import ACK, FIN, RST, SYN, Relay, RelayKind, RelayReceived
 from citronspring.rendezvous import flow_key
 from citronspring.systems import hints
+from citronspring.tables import HostRow
+from tests.conftest import make_host
 from tests.test_systems import driver
 
 
@@ -182,3 +185,20 @@
     assert driver.sent_to(actions) == [target_id]
     [send] = core.receive(driver.from_target(flow, target_id, data=b"y"), 1.0)
     assert send.packet.flow == flow
+
+
+def test_no_refusal_of_a_service_that_may_only_be_unknown_here(snapshot):
+    """A caller of a service that was just accepted is not told there is none.
+
+    A host that started a moment ago has no configuration, and one that missed a
+    record has an older one than its peer. Both stay silent; the caller's next SYN
+    finds a host that knows. Only a host that is up to date refuses.
+    """
+    flow = driver.owned_flow(driver.make_core(snapshot, hosts=2), start=40_000)
+    unknown = flow_key(6, "192.0.2.99", 443, "198.51.100.7", 40_000)
+    new = Balancer.from_config(make_host(0))
+    assert driver.kinds(new.receive(driver.syn(flow), 0.0)) == ["Drop"]
+    behind = driver.make_core(snapshot)
+    assert driver.kinds(behind.receive(driver.syn(unknown), 0.0)) == ["Refuse"]
+    behind.tables.hosts["host-1"] = HostRow(make_host(1), HostState.DEAD, revision=2)
+    assert driver.kinds(behind.receive(driver.syn(unknown), 0.0)) == ["Drop"]
