--- a/citronspring/cli/try_command.py
+++ b/citronspring/cli/try_command.py
@@ -18,8 +18,8 @@
 
 def try_system(arguments: Sequence[str]) -> int:
     """Run a small system on loopback under failures, and judge it."""
-    # The HTTP libraries log each call of the platform at level info.
-    logging.getLogger().setLevel(logging.WARNING)
+    # The HTTP libraries log each call, and each watch that the end cuts short.
+    logging.getLogger().setLevel(logging.CRITICAL)
     report = anyio.run(demonstrate, SEED, print)
     print_report(report)
     return 0 if report.kept else 1
--- a/citronspring/demonstration.py
+++ b/citronspring/demonstration.py
@@ -33,7 +33,7 @@
 SETTLE_SECONDS = 8.0
 
 #: New short requests a second.
-ARRIVALS = 40.0
+ARRIVALS = 120.0
 
 #: Size in bytes and rate in bytes a second of the long flows.
 LONG_SIZE = 120_000
--- a/citronspring/standins/system.py
+++ b/citronspring/standins/system.py
@@ -47,26 +47,33 @@
 
 
 def target_parameters(
-    account_id: str, number: int, zones: tuple[str, ...] = SYSTEM_ZONES
+    account_id: str,
+    number: int,
+    zones: tuple[str, ...] = SYSTEM_ZONES,
+    port: int = TUNNEL_PORT,
 ) -> dict[str, Any]:
     """Return the parameters of one target; its tunnel follows from its number."""
     index = list(ACCOUNT_SIZES).index(account_id)
     return {
         "target_id": f"{account_id}-{number}",
-        "tunnel": f"127.0.{10 + index}.{number + 1}:{TUNNEL_PORT}",
+        "tunnel": f"127.0.{10 + index}.{number + 1}:{port}",
         "zone": zones[number % len(zones)],
     }
 
 
 def account_parameters(
-    account_id: str, count: int, zones: tuple[str, ...] = SYSTEM_ZONES
+    account_id: str,
+    count: int,
+    zones: tuple[str, ...] = SYSTEM_ZONES,
+    port: int = TUNNEL_PORT,
 ) -> dict[str, Any]:
     """Return the parameters of a client account with so many targets."""
     index = list(ACCOUNT_SIZES).index(account_id)
     return {
         "address": f"192.0.2.{index + 1}",
         "targets": [
-            target_parameters(account_id, number, zones) for number in range(count)
+            target_parameters(account_id, number, zones, port)
+            for number in range(count)
         ],
         "zones": list(zones),
     }
@@ -94,11 +101,11 @@
         """Commit a change; raises what the store raises."""
         return await self.store.commit(change, self.clock())
 
-    async def set_up(self) -> None:
-        """Create the template and the client accounts."""
+    async def set_up(self, port: int = TUNNEL_PORT) -> None:
+        """Create the template and the client accounts, tunnels on one port."""
         await self.commit(PutTemplate(template=TEMPLATE, **self.identity()))
         for account_id, count in ACCOUNT_SIZES.items():
-            parameters = account_parameters(account_id, count)
+            parameters = account_parameters(account_id, count, port=port)
             await self.commit(self.put_account(account_id, parameters))
 
     def put_account(self, account_id: str, parameters: dict[str, Any]) -> PutAccount:
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -55,7 +55,7 @@
         )
         async with PlatformClient.from_url(url) as client:
             store = ConfigurationStore.from_platform(client, SYSTEM_ZONES)
-            await Operator(store, time.time).set_up()
+            await Operator(store, time.time).set_up(free_ports())
             snapshot = await store.read_snapshot()
         await system.start()
         await system.add_targets(snapshot)
