--- a/citronspring/cli/try_command.py
+++ b/citronspring/cli/try_command.py
@@ -8,6 +8,8 @@
 import anyio
 
 from citronspring.demonstration import Report, demonstrate
+from citronspring.logs import configure_logs
+from citronspring.settings import LogsSection
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -20,6 +22,7 @@
     """Run a small system on loopback under failures, and judge it."""
     # The HTTP libraries log each call, and each watch that the end cuts short.
     logging.getLogger().setLevel(logging.CRITICAL)
+    configure_logs(LogsSection(level="error"))
     report = anyio.run(demonstrate, SEED, print)
     print_report(report)
     return 0 if report.kept else 1
