Let two client accounts share neither a tunnel's IP address nor a target id

Cause: hosts look up the target of an answer by the IP address of its tunnel and keep the state of a target under its id alone. Two accounts with one server at two ports, or with one target id, would have had their packets mixed; the configuration compared address and port together and no ids.

Ruled out: ids unique within an account only, made unique by a prefix at rendering; drains and logs would then show other ids than operators wrote.

Seen to fail with the safeguard taken out: both cases of test_two_accounts_share_no_target.

--- a/citronspring/configuration/rendering.py
+++ b/citronspring/configuration/rendering.py
@@ -177,7 +177,7 @@
     """Raise ConfigurationError when an account lists one thing twice."""
     refuse_repeats(account.addresses, f"{what}: service address")
     refuse_repeats((t.target_id for t in account.targets), f"{what}: target")
-    refuse_repeats((t.tunnel for t in account.targets), f"{what}: tunnel")
+    refuse_repeats((t.tunnel.ip for t in account.targets), f"{what}: tunnel")
     refuse_repeats(account.zones, f"{what}: zone")
 
 
--- a/tests/test_configuration/test_models.py
+++ b/tests/test_configuration/test_models.py
@@ -61,9 +61,9 @@
             "add pakhuis",
         ),
         (
-            {"targets": [target(1), target(2, tunnel="10.0.0.1:6080")]},
+            {"targets": [target(1), target(2, tunnel="10.0.0.1:6081")]},
             "tunnel",
-            "10.0.0.1:6080 comes twice",
+            "10.0.0.1 comes twice",
             "once",
         ),
     ],
--- a/tests/test_configuration/test_moves.py
+++ b/tests/test_configuration/test_moves.py
@@ -105,7 +105,7 @@
     with pytest.raises(ConfigurationError, match="target id of its own"):
         call(store.commit(put("2-b", targets=[moved]), 0.0))
     renamed = target(1, target_id="t9")
-    with pytest.raises(ConfigurationError, match="10.0.0.1:6080 comes twice"):
+    with pytest.raises(ConfigurationError, match="10.0.0.1 comes twice"):
         call(store.commit(put("2-b", targets=[renamed]), 0.0))
 
 
@@ -168,6 +168,25 @@
     assert call(store.commit(put("3-d"), 0.0)) == Committed(4)
 
 
+@pytest.mark.parametrize(
+    ("changes", "refused"),
+    [
+        ({"target_id": "t9", "tunnel": "10.0.0.1:6081"}, "target tunnel 10.0.0.1 "),
+        ({"tunnel": "10.0.0.9:6080"}, "target id t1 "),
+    ],
+)
+def test_two_accounts_share_no_target(store, changes, refused):
+    """A second account lists a target at another port, or under the same id.
+
+    Hosts take an answer's account from the tunnel's IP address, and share a
+    target's load under its id: the accounts' packets would be mixed.
+    """
+    call(store.commit(put("1-a", targets=[target(1)]), 0.0))
+    wanted = put("2-b", "archivio", ip="192.0.2.2", targets=[target(1, **changes)])
+    with pytest.raises(MoveRefusedError, match=refused):
+        call(store.commit(wanted, 0.0))
+
+
 def test_two_operators_give_one_address_to_two_accounts():
     """Both commits are valid on the head they read, and only one can win.
 
