End the watches that wait when the platform's stand-in stops

Cause: a stopping server waited its grace second for each long poll, cancelled it and logged a traceback per watch, seen in a run of the whole path.

Seen to fail with the safeguard taken out: test_a_stop_ends_the_watches.

--- a/citronspring/standins/platform.py
+++ b/citronspring/standins/platform.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import asdict, dataclass
+from dataclasses import asdict, dataclass, field
 from typing import TYPE_CHECKING
 
 import anyio
@@ -39,13 +39,17 @@
     task_status: TaskStatus[Endpoint] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve a platform until cancelled; starts with the endpoint it got."""
-    application = make_application(platform)
-    await serve_application(application, endpoint, task_status=task_status)
+    service = PlatformService(platform)
+    await serve_application(
+        make_application(service),
+        endpoint,
+        stop=service.end_watches,
+        task_status=task_status,
+    )
 
 
-def make_application(platform: MemoryPlatform) -> Starlette:
-    """Make the ASGI application around a platform."""
-    service = PlatformService(platform)
+def make_application(service: PlatformService) -> Starlette:
+    """Make the ASGI application of a service."""
     routes = [
         Route("/values/{key:path}", service.get, methods=["GET"]),
         Route("/values/{key:path}", service.put, methods=["PUT"]),
@@ -69,6 +73,8 @@
     """The endpoints around one platform."""
 
     platform: MemoryPlatform
+    #: One scope for each watch that waits.
+    watches: set[anyio.CancelScope] = field(default_factory=set)
 
     async def get(self, request: Request) -> Response:
         """Read a key; ``after`` and ``wait`` make it a watch."""
@@ -84,10 +90,20 @@
         """Hold the request until there is a newer version."""
         query = request.query_params
         wait = min(float(query.get("wait", WATCH_SECONDS)), WATCH_SECONDS)
-        with anyio.move_on_after(wait):
-            return answer_value(await self.platform.watch(key, int(query["after"])))
+        with anyio.move_on_after(wait) as scope:
+            self.watches.add(scope)
+            try:
+                stored = await self.platform.watch(key, int(query["after"]))
+            finally:
+                self.watches.remove(scope)
+            return answer_value(stored)
         return Response(status_code=204)
 
+    def end_watches(self) -> None:
+        """Answer "nothing new" to every watch that waits."""
+        for scope in self.watches:
+            scope.cancel()
+
     async def put(self, request: Request) -> Response:
         """Compare-and-swap a key."""
         key = request.path_params["key"]
--- a/citronspring/standins/serving.py
+++ b/citronspring/standins/serving.py
@@ -12,7 +12,7 @@
 from citronspring.entities import Endpoint
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
 
     from anyio.abc import TaskStatus
 
@@ -23,8 +23,9 @@
 class ApplicationServer(uvicorn.Server):
     """A server that leaves signals to the process and reports its start."""
 
-    def __init__(self, config: uvicorn.Config) -> None:
+    def __init__(self, config: uvicorn.Config, stop: Callable[[], None]) -> None:
         super().__init__(config)
+        self.stop = stop
         self.ready = anyio.Event()
 
     @contextmanager
@@ -37,17 +38,38 @@
         await super().startup(sockets=sockets)
         self.ready.set()
 
+    async def shutdown(self, sockets: list[socket.socket] | None = None) -> None:
+        """End what waits in the application, then the connections."""
+        self.stop()
+        await super().shutdown(sockets=sockets)
+
+
+def stop_nothing() -> None:
+    """Stand for an application in which nothing waits for long."""
+
 
 async def serve_application(
     application: Any,
     endpoint: Endpoint,
     *,
+    stop: Callable[[], None] = stop_nothing,
     task_status: TaskStatus[Endpoint] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve an ASGI application until cancelled.
 
     The task starts with the endpoint it listens on: port 0 stands for any free
     port.
+
+    Parameters
+    ----------
+    application : ASGI application
+        What to serve.
+    endpoint : Endpoint
+        Where to listen.
+    stop : callable
+        Ends the requests that wait in the application when the server stops.
+    task_status : TaskStatus
+        Reports the start.
     """
     listener = bind(endpoint)
     ip, port = listener.getsockname()[:2]
@@ -60,7 +82,7 @@
         access_log=False,
         timeout_graceful_shutdown=SHUTDOWN_SECONDS,
     )
-    server = ApplicationServer(config)
+    server = ApplicationServer(config, stop)
     with listener:
         async with anyio.create_task_group() as group:
             group.start_soon(run_shielded, server, listener)
--- a/tests/test_platform/test_http.py
+++ b/tests/test_platform/test_http.py
@@ -16,13 +16,17 @@
 from citronspring.platform.http import PlatformClient
 from citronspring.platform.memory import MemoryPlatform, Switches
 from citronspring.platform.port import ABSENT, MAX_VALUE_BYTES
-from citronspring.standins.platform import make_application, serve_platform
+from citronspring.standins.platform import (
+    PlatformService,
+    make_application,
+    serve_platform,
+)
 
 pytestmark = pytest.mark.anyio
 
 
 def client_of(platform: MemoryPlatform) -> PlatformClient:
-    transport = httpx.ASGITransport(make_application(platform))
+    transport = httpx.ASGITransport(make_application(PlatformService(platform)))
     return PlatformClient(
         httpx.AsyncClient(transport=transport, base_url="http://platform")
     )
@@ -157,3 +161,33 @@
     async with PlatformClient.from_url(f"http://{endpoint}") as client:
         with pytest.raises(PlatformUnavailableError):
             await client.put("key", b"3", ABSENT)
+
+
+async def test_a_stop_ends_the_watches(caplog):
+    """The service stops while a reader waits in a watch.
+
+    The watch is answered at once. A server that waits for it first, and then
+    cancels it, takes its grace period and logs an error.
+    """
+    platform = MemoryPlatform()
+    failures = []
+
+    async def watch(client):
+        try:
+            await client.watch("key", ABSENT)
+        except PlatformUnavailableError as error:
+            failures.append(error)
+
+    async with (
+        anyio.create_task_group() as watchers,
+        anyio.create_task_group() as group,
+    ):
+        endpoint = await group.start(serve_platform, platform, Endpoint("127.0.0.1", 0))
+        client = PlatformClient.from_url(f"http://{endpoint}")
+        watchers.start_soon(watch, client)
+        while platform.written is None:
+            await anyio.sleep(0.01)
+        group.cancel_scope.cancel()
+    await client.aclose()
+    assert len(failures) == 1
+    assert not [record for record in caplog.records if record.levelname == "ERROR"]
