--- a/citronspring/configuration/reader.py
+++ b/citronspring/configuration/reader.py
@@ -93,15 +93,22 @@
         if catalog.version > self.catalog.version:
             self.catalog = catalog
 
-    async def read_catalog(self) -> Catalog:
+    async def read_catalog(self, *, keep: bool = True) -> Catalog:
         """Read what the known head names and the known catalog has not.
 
         A shard that is gone was replaced after this head: read a newer one.
+
+        Parameters
+        ----------
+        keep : bool
+            Whether to keep the catalog in memory, so that the next one needs
+            only the shards that changed.
         """
         for _ in range(READ_ATTEMPTS):
             catalog = await self.read_shards(self.version, self.head)
             if catalog is not None:
-                self.adopt_catalog(catalog)
+                if keep:
+                    self.adopt_catalog(catalog)
                 return catalog
             await self.refresh()
         raise stale()
--- a/citronspring/configuration/store.py
+++ b/citronspring/configuration/store.py
@@ -274,9 +274,12 @@
                 return
 
     async def read_snapshot(self) -> Snapshot:
-        """Read every account; the revision is never below one read before."""
+        """Read every account; the revision is never below one read before.
+
+        Only a process that commits keeps the definitions in memory.
+        """
         await self.reader.refresh()
-        return (await self.reader.read_catalog()).snapshot()
+        return (await self.reader.read_catalog(keep=False)).snapshot()
 
     async def read_records(
         self, after_revision: int
--- a/tests/test_configuration/test_store.py
+++ b/tests/test_configuration/test_store.py
@@ -483,6 +483,14 @@
     assert revision_of(platform) == 3
 
 
+def test_a_process_that_only_reads_keeps_no_definitions():
+    platform = make_platform()
+    call(make_store(platform).commit(put("1-a"), 0.0))
+    reader = make_store(platform)
+    assert len(call(reader.read_snapshot()).accounts) == 1
+    assert not list(reader.reader.catalog.entries())
+
+
 @pytest.mark.anyio
 async def test_a_watch_ends_at_the_next_revision():
     platform = MemoryPlatform()
