--- a/citronspring/systems/placement.py
+++ b/citronspring/systems/placement.py
@@ -31,6 +31,10 @@
 #: mean load: nothing like a reset tells where it lives once both copies are lost.
 DATAGRAM_LOAD_BOUND = 1.25
 
+#: Flows beyond that share which are no reason to leave it: on a host with few flows
+#: every single one would.
+DATAGRAM_SLACK = 8
+
 
 def rank_targets(flow: FlowKey, rows: list[TargetRow]) -> list[TargetRow]:
     """Return target rows from the highest rendezvous weight to the lowest."""
@@ -92,7 +96,8 @@
 def first_within_bound(candidates: list[TargetRow]) -> TargetRow:
     """Return the first-ranked candidate that is not loaded far above the mean."""
     total = sum(row.flows + row.remote_flows for row in candidates)
-    bound = DATAGRAM_LOAD_BOUND * (total + 1) / len(candidates)
+    mean = (total + 1) / len(candidates)
+    bound = DATAGRAM_LOAD_BOUND * mean + DATAGRAM_SLACK
     for row in candidates:
         if row.flows + row.remote_flows <= bound:
             return row
--- /dev/null
+++ b/tests/test_systems/test_ownership.py
@@ -0,0 +1,60 @@
+"""Ownership: who owns a flow, and what a change of owners does to its row."""
+
+from __future__ import annotations
+
+from citronspring.entities import HostState
+from citronspring.systems.ownership import renew_ring
+from citronspring.tables import FlowState
+from tests.test_systems import driver
+
+
+def set_state(core, host_id, state, now=1.0):
+    core.tables.hosts[host_id].state = state
+    renew_ring(core.tables, now)
+
+
+def test_flows_move_only_to_or_from_the_host_that_changed(snapshot):
+    """A planned stop of one host does not disturb the flows of the others."""
+    core = driver.make_core(snapshot, hosts=6)
+    flows = [driver.flow_to(port=port) for port in range(40_000, 40_500)]
+    before = {flow: core.tables.ring.pair(flow) for flow in flows}
+    set_state(core, "host-3", HostState.LEAVING)
+    for flow, (owner, second) in before.items():
+        now_owner = core.tables.ring.pair(flow)[0]
+        assert now_owner == (second if owner == "host-3" else owner)
+    set_state(core, "host-3", HostState.SUSPECT)
+    assert {flow: core.tables.ring.pair(flow) for flow in flows} == before
+
+
+def test_owner_that_loses_a_flow_keeps_an_uncounted_copy(snapshot):
+    """A target does not look twice as full while owners change."""
+    core = driver.make_core(snapshot, hosts=2)
+    set_state(core, "host-1", HostState.DEAD)
+    flows = [driver.flow_to(port=port) for port in range(40_000, 40_040)]
+    placed = {flow: driver.open_flow(core, flow) for flow in flows}
+    set_state(core, "host-1", HostState.ALIVE)
+    rows = core.tables.flows.rows
+    for flow, target_id in placed.items():
+        mine = core.tables.ring.pair(flow)[0] == "host-0"
+        assert rows[flow].state == (FlowState.ESTABLISHED if mine else FlowState.BACKUP)
+        assert rows[flow].target.target.target_id == target_id
+    kept = sum(row.state == FlowState.ESTABLISHED for row in rows.values())
+    assert core.tables.accounts["bundelpers"].open_flows == kept
+    for flow in flows:
+        sent = driver.sent_to(core.receive(driver.relayed(driver.from_caller(flow)), 2))
+        assert sent == [placed[flow]]
+    assert core.tables.accounts["bundelpers"].open_flows == kept
+
+
+def test_last_host_goes_on_serving(snapshot):
+    """A host that is leaving, with no other in sight, drops nothing."""
+    core = driver.make_core(snapshot)
+    set_state(core, "host-0", HostState.LEAVING)
+    assert driver.open_flow(core, driver.flow_to()) in core.tables.targets
+
+
+def test_other_groups_own_nothing_here(snapshot):
+    core = driver.make_core(snapshot, hosts=3)
+    core.tables.group = "elsewhere"
+    renew_ring(core.tables, 1.0)
+    assert core.tables.ring.members == ("host-0",)
--- /dev/null
+++ b/tests/test_systems/test_placement.py
@@ -0,0 +1,109 @@
+"""Placement: which target takes a new flow."""
+
+from __future__ import annotations
+
+import pytest
+
+from citronspring.entities import Snapshot
+from citronspring.messages import RefusalReason, SnapshotRead
+from citronspring.systems.placement import (
+    ALL_CANDIDATES,
+    CANDIDATES,
+    WINDOW,
+    choose_target,
+    rank_targets,
+)
+from citronspring.systems.revisions import PLACEMENT_DELAY
+from tests.conftest import make_account
+from tests.test_systems import driver
+
+
+def account_of(core, account_id="bundelpers"):
+    return core.tables.accounts[account_id]
+
+
+def choose(core, flow, now=10.0, tried=()):
+    return choose_target(core.tables, flow, account_of(core), list(tried), now)
+
+
+def test_least_loaded_target_wins_and_the_own_zone_breaks_ties(snapshot):
+    core = driver.make_core(snapshot)
+    chosen = choose(core, driver.flow_to())
+    assert chosen.target.zone == core.tables.zone
+    for row in account_of(core).targets:
+        row.flows = 3
+    lightest = core.tables.targets["bundelpers-4"]
+    lightest.flows = 2
+    assert choose(core, driver.flow_to()) is lightest
+    lightest.remote_flows = 5
+    assert choose(core, driver.flow_to()) is not lightest
+
+
+def test_only_candidates_within_the_window_take_a_flow():
+    """A flow whose owner is lost is found by asking few of many targets.
+
+    With hundreds of targets a flow goes to one of its first-ranked ones, and when
+    these are full to a later one, but never below the window: a host that does not
+    know the flow searches no further.
+    """
+    core = driver.make_core(Snapshot(1, (make_account(targets=100),)))
+    flow = driver.flow_to()
+    ranked = rank_targets(flow, account_of(core).targets)
+    assert choose(core, flow) in ranked[:CANDIDATES]
+    for row in ranked[: WINDOW - 1]:
+        row.ejected_until = 100.0
+    assert choose(core, flow) is ranked[WINDOW - 1]
+    ranked[WINDOW - 1].ejected_until = 100.0
+    assert choose(core, flow) is RefusalReason.NO_HEALTHY_TARGET
+    assert choose(core, flow, now=100.0) in ranked[:CANDIDATES]
+
+
+@pytest.mark.parametrize("count", [1, 7, ALL_CANDIDATES])
+def test_every_target_of_a_small_account_is_a_candidate(count):
+    core = driver.make_core(Snapshot(1, (make_account(targets=count),)))
+    taken = set()
+    for port in range(40_000, 40_000 + count):
+        chosen = choose(core, driver.flow_to(port=port))
+        chosen.flows += 1
+        taken.add(chosen.target.target_id)
+    assert len(taken) == count
+
+
+def test_full_targets_are_told_from_sick_ones(snapshot):
+    core = driver.make_core(snapshot)
+    for row in account_of(core).targets:
+        row.flows = row.target.max_connections
+    assert choose(core, driver.flow_to()) is RefusalReason.TARGETS_FULL
+
+
+def test_new_target_waits_until_every_host_knows_it(snapshot):
+    """A host that has not heard of a target takes no flow on it for lost.
+
+    The target is placed on only when the change has had time to reach all.
+    """
+    core = driver.make_core(snapshot)
+    account = snapshot.accounts[0]
+    grown = make_account(targets=8).targets
+    newer = Snapshot(2, (driver.with_targets(account, grown),))
+    core.receive(SnapshotRead(newer), 5.0)
+    for row in account_of(core).targets[:7]:
+        row.flows = 10
+    fresh = account_of(core).targets[7]
+    flow = driver.flow_to()
+    assert choose(core, flow, 5.0 + PLACEMENT_DELAY - 0.1) is not fresh
+    assert choose(core, flow, 5.0 + PLACEMENT_DELAY) is fresh
+
+
+def test_datagrams_leave_their_first_target_only_when_it_is_loaded(snapshot):
+    """A datagram flow is found again although both hosts that knew it are lost.
+
+    Every host would place it on its first-ranked target. With few flows on a host
+    a bound relative to the mean alone would make each flow an exception.
+    """
+    core = driver.make_core(snapshot)
+    flow = driver.flow_to(protocol=17)
+    first, second, *_ = rank_targets(flow, account_of(core).targets)
+    first.flows = 1
+    assert choose(core, flow) is first
+    first.flows = 20
+    assert choose(core, flow) is second
