--- a/tests/test_systems/driver.py
+++ b/tests/test_systems/driver.py
@@ -19,7 +19,11 @@
     SnapshotRead,
 )
 from citronspring.rendezvous import flow_key
+from citronspring.systems.expiry import expire_flows, expire_hints
+from citronspring.systems.openings import expire_openings
+from citronspring.systems.ownership import renew_ring
 from citronspring.systems.placement import rank_targets
+from citronspring.systems.second_chance import expire_walks
 from tests.conftest import make_host
 
 CALLER_SEQ = 1000
@@ -95,6 +99,18 @@
     return target_id
 
 
+def expire(core, now):
+    """Run the timed systems of flows, and none that needs other hosts."""
+    tables = core.tables
+    actions = []
+    renew_ring(tables, now)
+    expire_openings(tables, now, actions)
+    expire_walks(tables, now, actions)
+    expire_flows(tables, now)
+    expire_hints(tables, now)
+    return actions
+
+
 def sent_to(actions):
     return [item.target_id for item in actions if isinstance(item, SendToTarget)]
 
