--- a/benchmarks/baselines.py
+++ b/benchmarks/baselines.py
@@ -21,9 +21,8 @@
     SnapshotRead,
     Stopped,
 )
-from citronspring.rendezvous import service_key_of
+from citronspring.rendezvous import score, service_key_of
 from citronspring.systems.ownership import renew_ring
-from citronspring.systems.placement import rank_targets
 from citronspring.systems.revisions import apply_snapshot
 from citronspring.tables import HostRow, Tables
 
@@ -99,8 +98,8 @@
 
     def first_active(self, flow: FlowKey) -> TargetRow | None:
         """Return the highest-ranked active target."""
-        order = rank_targets(flow, self.active(flow))
-        return order[0] if order else None
+        rows = self.active(flow)
+        return max(rows, key=lambda row: score(flow, row.seed), default=None)
 
     def tick(self, now: float) -> list[Action]:
         """Follow the membership view; stop when leaving and quiet."""
@@ -153,7 +152,7 @@
         if packet.flags & SYN:
             target = min(rows, key=lambda row: row.flows)
         else:
-            target = rank_targets(packet.flow, rows)[0]
+            target = max(rows, key=lambda row: score(packet.flow, row.seed))
         self.flows[packet.flow] = target
         target.flows += 1
         return target
--- /dev/null
+++ b/benchmarks/relays.py
@@ -0,0 +1,147 @@
+"""Packets relayed between hosts, with and without hints, for long flows."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from xxhash import xxh64_intdigest
+
+from benchmarks.direct import (
+    configure,
+    from_caller,
+    from_target,
+    numbered_flow,
+)
+from benchmarks.result import Result
+from benchmarks.world import make_host
+from citronspring.balancer import Balancer
+from citronspring.messages import (
+    ACK,
+    SYN,
+    Packet,
+    PacketReceived,
+    Relay,
+    RelayKind,
+    RelayReceived,
+    SendToTarget,
+)
+
+if TYPE_CHECKING:
+    from citronspring.entities import FlowKey
+    from citronspring.messages import Action
+
+COMMAND = "python -m benchmarks --only relays"
+
+SEED = 1
+HOSTS = 6
+TARGETS = 7
+FLOWS = 100
+#: Packets of each flow, half of them answers, and packets a second.
+PACKETS = 1200
+PACKET_RATE = 20.0
+
+#: Kinds of relay that carry no packet.
+BINDINGS = (RelayKind.BIND, RelayKind.HINT, RelayKind.UNKNOWN)
+
+
+@dataclass(slots=True)
+class Fleet:
+    """Cores that hand each other relays at once."""
+
+    rng: random.Random
+    #: Whether each flow's packets reach one host, or a random one.
+    stable: bool
+    #: Whether hints are delivered.
+    hints: bool
+    cores: dict[str, Balancer] = field(default_factory=dict)
+    received: int = 0
+    relayed: int = 0
+    #: Target that each flow's packets went to last.
+    targets: dict[FlowKey, str] = field(default_factory=dict)
+
+    @classmethod
+    def from_spray(cls, stable: bool, hints: bool) -> Fleet:
+        """Make a fleet whose hosts know each other."""
+        fleet = cls(random.Random(SEED), stable, hints)
+        hosts = [make_host(index) for index in range(HOSTS)]
+        for host in hosts:
+            peers = [peer for peer in hosts if peer is not host]
+            core = Balancer.from_config(host, peers)
+            configure(core, TARGETS)
+            fleet.cores[host.host_id] = core
+        return fleet
+
+    def run(self) -> float:
+        """Send every flow's packets; return the relays a packet took."""
+        flows = [numbered_flow(number) for number in range(FLOWS)]
+        for flow in flows:
+            self.open(flow)
+        for number in range(PACKETS):
+            for index, flow in enumerate(flows):
+                now = 1.0 + (number + index / FLOWS) / PACKET_RATE
+                self.send(self.next_packet(flow, number), now)
+        return self.relayed / self.received
+
+    def open(self, flow: FlowKey) -> None:
+        """Open a flow."""
+        self.send(from_caller(flow, SYN), 0.0)
+        self.send(from_target(flow, self.targets[flow], SYN | ACK), 0.0)
+        self.send(from_caller(flow, ACK), 0.0)
+
+    def next_packet(self, flow: FlowKey, number: int) -> PacketReceived:
+        """Return a packet of the caller or the target, in turns."""
+        if number % 2:
+            return from_target(flow, self.targets[flow], ACK, length=100)
+        return from_caller(flow, ACK, length=100)
+
+    def send(self, event: PacketReceived, now: float) -> None:
+        """Give a packet to the host the fabric picks."""
+        names = list(self.cores)
+        index = self.rng.randrange(HOSTS)
+        if self.stable:
+            index = xxh64_intdigest(event.packet.flow) % HOSTS
+        self.received += 1
+        host_id = names[index]
+        self.perform(host_id, self.cores[host_id].receive(event, now), now)
+
+    def perform(self, host_id: str, actions: list[Action], now: float) -> None:
+        """Deliver relays, and note where packets go."""
+        for action in actions:
+            if isinstance(action, SendToTarget):
+                self.targets[action.packet.flow] = action.target_id
+            elif isinstance(action, Relay):
+                self.deliver(host_id, action, now)
+
+    def deliver(self, host_id: str, relay: Relay, now: float) -> None:
+        """Hand a relay to its host."""
+        if relay.kind not in BINDINGS:
+            self.relayed += 1
+        if relay.kind is RelayKind.HINT and not self.hints:
+            return
+        packet: Packet | None = relay.packet
+        event = RelayReceived(
+            relay.kind, host_id, relay.flow, packet, relay.source, relay.target_id
+        )
+        actions = self.cores[relay.host_id].receive(event, now)
+        self.perform(relay.host_id, actions, now)
+
+
+def run() -> list[Result]:
+    """Measure both sprays; the baseline is the same run without hints."""
+    rows = []
+    for name, stable in (("random", False), ("flow_stable", True)):
+        ours = Fleet.from_spray(stable, hints=True).run()
+        plain = Fleet.from_spray(stable, hints=False).run()
+        rows.append(
+            Result(
+                f"relays.per_packet_{name}_spray",
+                round(ours, 4),
+                "relays",
+                round(plain, 4),
+                seed=SEED,
+                command=COMMAND,
+            )
+        )
+    return rows
