--- a/citronspring/systems/routing.py
+++ b/citronspring/systems/routing.py
@@ -31,8 +31,8 @@
     promote,
 )
 from citronspring.systems.hints import STATE_FLAGS, offer_hint, take_hint, use_hint
+from citronspring.systems.limits import RETRY_AFTER
 from citronspring.systems.openings import (
-    RETRY_AFTER,
     forward_by_second,
     open_flow,
     reopen_flow,
--- a/citronspring/systems/second_chance.py
+++ b/citronspring/systems/second_chance.py
@@ -21,6 +21,7 @@
     SendToTarget,
 )
 from citronspring.systems.binding import bind_found
+from citronspring.systems.idle import wake
 from citronspring.systems.placement import possible_targets
 from citronspring.tables import WalkRow
 
@@ -74,11 +75,13 @@
         Whether the second-ranked host is asked first. Not when what this owner
         believed was wrong: its copy would be the same error.
     """
-    if len(tables.walks) >= MAX_WALKS:
+    wake(tables, account, now)
+    if not tables.walks.has_room(account, MAX_WALKS):
         actions.append(Drop(DropReason.WALK_FULL))
         return
     tables.counters["walks"] += 1
     walk = WalkRow(
+        account,
         possible_targets(packet.flow, account),
         [packet],
         now + WALK_TIMEOUT,
