--- a/citronspring/systems/placement.py
+++ b/citronspring/systems/placement.py
@@ -33,6 +33,10 @@
 #: mean load: nothing like a reset tells where it lives once both copies are lost.
 DATAGRAM_LOAD_BOUND = 1.25
 
+#: Flows beyond that share which are no reason to leave it: on a host with few flows
+#: every single one would.
+DATAGRAM_SLACK = 8
+
 #: Times the mean load that the last healthy targets take before those that health
 #: speaks against are used again.
 PANIC_LOAD = 4.0
@@ -128,7 +132,8 @@
 def first_within_bound(tables: Tables, candidates: list[TargetRow]) -> TargetRow:
     """Return the first-ranked candidate that is not loaded far above the mean."""
     total = sum(flows_on(tables, row) for row in candidates)
-    bound = DATAGRAM_LOAD_BOUND * (total + 1) / len(candidates)
+    mean = (total + 1) / len(candidates)
+    bound = DATAGRAM_LOAD_BOUND * mean + DATAGRAM_SLACK
     for row in candidates:
         if flows_on(tables, row) <= bound:
             return row
