Drive a host process by the command line in a test; end quietly on a closed pipe

Cause: a reader that leaves (head) made the program print an error, in try from inside an exception group; log lines of try went between its own. Seen to fail with the safeguard removed: flush before the end, quiet end, signal receiver, administration beside the core.

--- a/citronspring/cli/main.py
+++ b/citronspring/cli/main.py
@@ -24,6 +24,8 @@
 )
 from citronspring.cli.try_command import try_system
 from citronspring.errors import CitronspringError
+from citronspring.logs import configure_logs
+from citronspring.settings import LogsSection
 from citronspring.settings_errors import shown
 
 if TYPE_CHECKING:
@@ -42,7 +44,8 @@
 
 
 def run_try(invocation: Invocation) -> int:
-    """Run the small system."""
+    """Run the small system; only warnings may stand between its own lines."""
+    configure_logs(LogsSection(format="console", level="warning"))
     return try_system(invocation.arguments)
 
 
@@ -70,11 +73,9 @@
     try:
         if command is None:
             raise unknown_command(words)
-        return command.run(command.parse(words[len(command.words) :]))
-    except BrokenPipeError:
-        # Whoever read the output has left, as `head` does; nothing is wrong.
-        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
-        return ERROR.code
+        code = command.run(command.parse(words[len(command.words) :]))
+        sys.stdout.flush()
+        return code
     except KeyboardInterrupt:
         return INTERRUPTED
     except Exception as error:
@@ -107,9 +108,15 @@
 def tell(error: Exception) -> int:
     """Print an error in one line and return its exit code."""
     for cause in causes(error):
-        if isinstance(cause, CitronspringError):
-            print(f"citronspring: {one_line(cause)}", file=sys.stderr)
-            return exit_code_of(cause)
+        match cause:
+            case BrokenPipeError():
+                # Whoever read the output has left, as `head` does: nobody is there
+                # to tell, and Python would complain again when it flushes.
+                os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+                return ERROR.code
+            case CitronspringError():
+                print(f"citronspring: {one_line(cause)}", file=sys.stderr)
+                return exit_code_of(cause)
     first = next(causes(error))
     text = f"{type(first).__name__}: {one_line(first)}; report it as a fault"
     print(f"citronspring: {text}", file=sys.stderr)
--- a/tests/test_cli/test_errors.py
+++ b/tests/test_cli/test_errors.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import os
 import socket
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
@@ -84,6 +87,23 @@
     assert f"cannot listen on {address}" in line
 
 
+def test_a_reader_that_leaves_gets_no_complaint():
+    """The output goes to a pipe whose reader leaves, as `head` does.
+
+    The program would print a traceback, or a second error when Python flushes its
+    output at the end; it ends quietly.
+    """
+    read_end, write_end = os.pipe()
+    os.close(read_end)
+    command = [sys.executable, "-m", "citronspring", "version"]
+    buffered = {**os.environ, "PYTHONUNBUFFERED": ""}
+    done = subprocess.run(
+        command, stdout=write_end, stderr=subprocess.PIPE, env=buffered
+    )
+    os.close(write_end)
+    assert (done.returncode, done.stderr) == (1, b"")
+
+
 @pytest.mark.parametrize("command", COMMANDS, ids=lambda item: item.name)
 def test_help_of_each_command(capsys, command):
     assert main([*command.words, "--help"]) == 0
--- /dev/null
+++ b/tests/test_cli/test_serve.py
@@ -0,0 +1,112 @@
+"""A host process and the command line, over real sockets."""
+
+from __future__ import annotations
+
+import json
+import signal
+import socket
+import subprocess
+import sys
+from contextlib import ExitStack
+
+import anyio
+import pytest
+import tomli_w
+
+from citronspring.entities import Endpoint
+from citronspring.platform.memory import MemoryPlatform
+from citronspring.standins.platform import serve_platform
+from tests.test_admin.hosts import EXAMPLES
+
+pytestmark = pytest.mark.anyio
+
+PROGRAM = (sys.executable, "-m", "citronspring")
+
+
+def free_ports(count):
+    """Return ports of loopback that are free for both protocols."""
+    with ExitStack() as stack:
+        ports = []
+        for _ in range(count):
+            udp = stack.enter_context(socket.socket(type=socket.SOCK_DGRAM))
+            udp.bind(("127.0.0.1", 0))
+            ports.append(udp.getsockname()[1])
+        return ports
+
+
+def write_settings(path, platform):
+    tunnel, relay, control, admin = free_ports(4)
+    settings = {
+        "host": {
+            "id": "drukkerij-1",
+            "zone": "drukkerij",
+            "tunnel": f"127.0.0.1:{tunnel}",
+            "relay": f"127.0.0.1:{relay}",
+            "control": f"127.0.0.1:{control}",
+        },
+        "fabric": {"gateway": "127.0.0.2:6080"},
+        "platform": {
+            "url": f"http://{platform}",
+            "zones": ["drukkerij", "zetterij", "pakhuis"],
+        },
+        "admin": {"listen": f"127.0.0.1:{admin}"},
+    }
+    path.write_text(tomli_w.dumps(settings))
+    return f"http://127.0.0.1:{admin}"
+
+
+async def run(*words):
+    """Run a command to its end."""
+    done = await anyio.run_process([*PROGRAM, *words], check=False)
+    return done.returncode, done.stdout.decode(), done.stderr.decode()
+
+
+async def wait_for(host):
+    with anyio.fail_after(30):
+        while (await run("status", f"--host={host}"))[0] != 0:
+            await anyio.sleep(0.1)
+
+
+async def test_a_host_is_driven_and_stopped_by_the_command_line(tmp_path):
+    """An operator sets up an account, looks, dumps and stops a host.
+
+    The host process takes each request beside its packets. The drain ends it by
+    itself with exit code 0, and after that the commands say in a line that nobody
+    answers.
+    """
+    async with anyio.create_task_group() as group:
+        anywhere = Endpoint("127.0.0.1", 0)
+        platform = await group.start(serve_platform, MemoryPlatform(), anywhere)
+        host = write_settings(tmp_path / "host.toml", platform)
+        process = subprocess.Popen(
+            [*PROGRAM, "serve", f"--settings={tmp_path / 'host.toml'}"],
+            stderr=subprocess.PIPE,
+        )
+        try:
+            await wait_for(host)
+            stream, account = EXAMPLES / "stream.toml", EXAMPLES / "bundelpers.toml"
+            put = await run("template", "put", str(stream), f"--host={host}")
+            assert put[0] == 0, put
+            put = await run(
+                "account", "put", "bundelpers", str(account), f"--host={host}"
+            )
+            assert put[0] == 0, put
+            code, out, _ = await run("dump", host)
+            assert (code, json.loads(out)["host"]) == (0, "drukkerij-1")
+            process.send_signal(signal.SIGUSR1)
+            assert (await run("host", "drain", host))[0] == 0
+            _, err = await anyio.to_thread.run_sync(process.communicate, None, 30)
+        finally:
+            process.kill()
+        group.cancel_scope.cancel()
+    assert process.returncode == 0
+    events = [json.loads(line)["event"] for line in err.decode().splitlines()]
+    wanted = ["started", "change-accepted", "state-dump", "leaving", "stopped"]
+    assert [event for event in events if event in wanted] == [
+        "started",
+        "change-accepted",
+        *wanted[1:],
+    ]
+    code, _, text = await run("status", f"--host={host}")
+    assert code == 7
+    assert len(text.splitlines()) == 1
