--- a/citronspring/systems/control.py
+++ b/citronspring/systems/control.py
@@ -7,6 +7,7 @@
 from citronspring.control.messages import (
     Ack,
     Gossip,
+    Loads,
     Members,
     MembersRequest,
     Ping,
@@ -19,6 +20,7 @@
 from citronspring.systems.bulk import offer_bulk, receive_part
 from citronspring.systems.dissemination import take_updates
 from citronspring.systems.fence import check_reached, hear_revision
+from citronspring.systems.loads import take_loads
 from citronspring.systems.membership import (
     receive_ack,
     receive_members,
@@ -55,7 +57,7 @@
         case Ping() | Ack() | PingRequest() | Gossip():
             hear_of_revision(tables, sender, message.revision, now, actions)
     dispatch(tables, sender, message, now, actions)
-    check_reached(tables)
+    check_reached(tables, actions)
 
 
 def dispatch(
@@ -74,6 +76,8 @@
             receive_members_request(tables, sender, message, actions)
         case Members():
             receive_members(tables, message, now)
+        case Loads():
+            take_loads(tables, sender, message, now)
         case Records():
             receive_records(tables, sender, message, now, actions)
         case RecordsRequest():
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import itertools
+import os
 
+import anyio
 import pytest
 
 from citronspring.entities import (
@@ -15,10 +17,19 @@
     Snapshot,
     Target,
 )
+from citronspring.errors import PlatformUnavailableError
+
+#: Ports that one run of the tests uses, apart from those of a run beside it.
+PORT_RANGES = itertools.count(20_000 + os.getpid() % 200 * 50, 25)
 
 ZONES = ("drukkerij", "zetterij", "pakhuis")
 
 
+def free_ports():
+    """Return the first of 25 ports that no other test of this run uses."""
+    return next(PORT_RANGES)
+
+
 def make_host(index: int, ports: itertools.count[int] | None = None) -> Host:
     """Return a host of group ``entry`` in one of three zones."""
     ports = ports or itertools.count(10_000 + 10 * index)
@@ -54,6 +65,34 @@
     )
 
 
+class FixedSource:
+    """A configuration that never changes, or a platform that is down."""
+
+    def __init__(self, snapshot: Snapshot | None) -> None:
+        self.snapshot = snapshot
+        self.confirmed: list[tuple[str, int]] = []
+
+    async def read_snapshot(self) -> Snapshot:
+        if self.snapshot is None:
+            raise PlatformUnavailableError("down", "wait")
+        return self.snapshot
+
+    async def read_records(self, after_revision: int) -> tuple[()]:
+        await self.read_snapshot()
+        return ()
+
+    async def watch_head(self, after_revision: int) -> int:
+        snapshot = await self.read_snapshot()
+        if snapshot.revision <= after_revision:
+            await anyio.sleep_forever()
+        return snapshot.revision
+
+    async def confirm_zone(self, zone: str, revision: int) -> int:
+        await self.read_snapshot()
+        self.confirmed.append((zone, revision))
+        return revision
+
+
 @pytest.fixture
 def anyio_backend() -> str:
     """Run asynchronous tests on one backend."""
