Give every stand-in system a range of ports of its own, and close sockets at the end

Cause: tests in processes side by side, and tests one after the other, met on fixed ports and failed with 'Address already in use'. Ruled out: slow machines.

--- a/citronspring/daemons/host.py
+++ b/citronspring/daemons/host.py
@@ -4,6 +4,7 @@
 
 import signal
 import time
+from contextlib import closing
 from typing import TYPE_CHECKING
 
 import anyio
@@ -104,6 +105,12 @@
         self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
     ) -> None:
         """Serve until the core says the host may stop."""
+        with closing(self.carrier), closing(self.control):
+            await self.serve(task_status)
+        self.application.emit("stopped")
+
+    async def serve(self, task_status: TaskStatus[None]) -> None:
+        """Run every part of the host until it may stop."""
         async with anyio.create_task_group() as group:
             carrier = self.carrier
             group.start_soon(receive_forever, carrier.tunnel, carrier.receive_tunnelled)
@@ -119,9 +126,6 @@
             self.application.emit("started")
             await self.stopping.wait()
             group.cancel_scope.cancel()
-        carrier.close()
-        control.close()
-        self.application.emit("stopped")
 
     async def wait_for_configuration(self) -> None:
         """Wait for a first configuration, from a peer or the platform."""
--- a/citronspring/demonstration.py
+++ b/citronspring/demonstration.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-import socket
 import time
 from collections import Counter
 from dataclasses import dataclass, field
@@ -13,9 +12,7 @@
 
 from citronspring.configuration.store import ConfigurationStore
 from citronspring.daemons.host import HostDaemon
-from citronspring.daemons.sockets import bind_udp
 from citronspring.entities import Endpoint
-from citronspring.errors import SettingsError
 from citronspring.platform.http import PlatformClient
 from citronspring.platform.memory import MemoryPlatform
 from citronspring.standins.loopback import Loopback
@@ -59,13 +56,6 @@
 #: Where the platform's stand-in listens; port 0 stands for any free one.
 PLATFORM_ENDPOINT = Endpoint("127.0.3.4", 0)
 
-#: Address on which a run reserves its ports, and the ports it tries to begin at.
-RESERVED_IP = "127.0.3.5"
-FIRST_PORTS = range(20_000, 30_000, 100)
-
-#: Ports after the first that hosts, fabric and callers take.
-TUNNEL_OFFSET = 99
-
 
 @dataclass(slots=True)
 class Report:
@@ -262,34 +252,20 @@
             serve_platform, MemoryPlatform(), PLATFORM_ENDPOINT
         )
         url = f"http://{platform}"
-        reserved = reserve_ports()
-        first_port = reserved.getsockname()[1]
+        system = Loopback(group, random.Random(seed), SYSTEM_ZONES)
         async with PlatformClient.from_url(url) as client:
             store = ConfigurationStore.from_platform(client, SYSTEM_ZONES)
             operator = Operator(store, time.time)
-            await operator.set_up(first_port + TUNNEL_OFFSET)
+            await operator.set_up(system.tunnel_port)
             snapshot = await store.read_snapshot()
-            rng = random.Random(seed)
-            system = Loopback(group, rng, SYSTEM_ZONES, first_port)
             await start_system(system, snapshot, store, url)
             say(f"{HOSTS} hosts and {len(system.targets)} targets run")
             run = Demonstration(system, operator, snapshot.accounts, say)
             report = await run.run()
-        reserved.close()
         group.cancel_scope.cancel()
     return report
 
 
-def reserve_ports() -> socket.socket:
-    """Return a socket on the first port that no other run has reserved."""
-    for port in FIRST_PORTS:
-        try:
-            return bind_udp(Endpoint(RESERVED_IP, port))
-        except SettingsError:
-            continue
-    raise SettingsError("no free ports on loopback", "end other runs of try")
-
-
 async def start_system(
     system: Loopback, snapshot: Snapshot, store: ConfigurationStore, url: str
 ) -> None:
--- a/citronspring/standins/caller.py
+++ b/citronspring/standins/caller.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from contextlib import closing
 from typing import TYPE_CHECKING
 
 import anyio
@@ -51,10 +52,11 @@
         self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
     ) -> None:
         """Carry segments until cancelled."""
-        async with anyio.create_task_group() as group:
-            group.start_soon(receive_forever, self.sock, self.receive)
-            group.start_soon(self.tick_forever)
-            task_status.started()
+        with closing(self):
+            async with anyio.create_task_group() as group:
+                group.start_soon(receive_forever, self.sock, self.receive)
+                group.start_soon(self.tick_forever)
+                task_status.started()
 
     def close(self) -> None:
         """Close the socket."""
--- a/citronspring/standins/fabric.py
+++ b/citronspring/standins/fabric.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from contextlib import closing
 from typing import TYPE_CHECKING
 
 import anyio
@@ -54,10 +55,11 @@
         self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
     ) -> None:
         """Carry packets until cancelled."""
-        async with anyio.create_task_group() as group:
-            group.start_soon(receive_forever, self.access, self.from_caller)
-            group.start_soon(receive_forever, self.gateway, self.from_host)
-            task_status.started()
+        with closing(self):
+            async with anyio.create_task_group() as group:
+                group.start_soon(receive_forever, self.access, self.from_caller)
+                group.start_soon(receive_forever, self.gateway, self.from_host)
+                task_status.started()
 
     def close(self) -> None:
         """Close the sockets."""
--- a/citronspring/standins/loopback.py
+++ b/citronspring/standins/loopback.py
@@ -4,13 +4,16 @@
 
 import itertools
 import random
+import socket
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import anyio
 
 from citronspring.daemons.host import HostDaemon
+from citronspring.daemons.sockets import bind_udp
 from citronspring.entities import Endpoint
+from citronspring.errors import SettingsError
 from citronspring.settings import FabricSection, HostSection, PlatformSection, Settings
 from citronspring.standins.caller import Caller
 from citronspring.standins.fabric import Fabric
@@ -22,8 +25,23 @@
     from citronspring.entities import Account, Snapshot, Target
     from citronspring.standins.service import Request
 
-#: Ports below the range from which the kernel picks ports for others.
-FIRST_PORT = 21_000
+#: Address on which a system reserves its ports, and the ports it may begin at: below
+#: the range from which the kernel picks ports for others.
+RESERVED_IP = "127.0.3.5"
+FIRST_PORTS = range(20_000, 30_000, 100)
+
+#: The last port of a range, on which targets end their tunnels.
+TUNNEL_OFFSET = 99
+
+
+def reserve_ports() -> socket.socket:
+    """Return a socket on the first port of a range that no other system holds."""
+    for port in FIRST_PORTS:
+        try:
+            return bind_udp(Endpoint(RESERVED_IP, port))
+        except SettingsError:
+            continue
+    raise SettingsError("no free ports on loopback", "end other stand-in systems")
 
 
 @dataclass(slots=True)
@@ -33,7 +51,6 @@
     group: TaskGroup
     rng: random.Random
     zones: tuple[str, ...]
-    first_port: int = FIRST_PORT
     hosts: dict[str, HostDaemon] = field(default_factory=dict)
     scopes: dict[str, anyio.CancelScope] = field(default_factory=dict)
     targets: dict[str, TargetServer] = field(default_factory=dict)
@@ -44,7 +61,10 @@
     ports: itertools.count[int] = field(init=False)
 
     def __post_init__(self) -> None:
-        self.ports = itertools.count(self.first_port)
+        self.reserved = reserve_ports()
+        first_port = self.reserved.getsockname()[1]
+        self.tunnel_port = first_port + TUNNEL_OFFSET
+        self.ports = itertools.count(first_port)
         access = Endpoint("127.0.3.1", next(self.ports))
         gateway = Endpoint("127.0.3.2", next(self.ports))
         local = Endpoint("127.0.3.3", next(self.ports))
@@ -53,12 +73,21 @@
         self.gateway = gateway
 
     gateway: Endpoint = field(init=False)
+    #: Keeps the range of ports from other systems on this machine.
+    reserved: socket.socket = field(init=False)
+    tunnel_port: int = field(init=False)
 
     async def start(self) -> None:
         """Start the fabric and the callers."""
+        self.group.start_soon(self.hold_ports)
         await self.group.start(self.fabric.run)
         await self.group.start(self.caller.run)
 
+    async def hold_ports(self) -> None:
+        """Keep the ports until the system ends."""
+        with self.reserved:
+            await anyio.sleep_forever()
+
     def describe_hosts(self, count: int) -> list[HostSection]:
         """Return the settings sections of so many hosts."""
         return [self.describe_host(index) for index in range(count)]
--- a/citronspring/standins/target.py
+++ b/citronspring/standins/target.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from contextlib import closing
 from typing import TYPE_CHECKING
 
 import anyio
@@ -77,10 +78,11 @@
         self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
     ) -> None:
         """Serve until cancelled."""
-        async with anyio.create_task_group() as group:
-            group.start_soon(receive_forever, self.sock, self.receive)
-            group.start_soon(self.tick_forever)
-            task_status.started()
+        with closing(self):
+            async with anyio.create_task_group() as group:
+                group.start_soon(receive_forever, self.sock, self.receive)
+                group.start_soon(self.tick_forever)
+                task_status.started()
 
     def close(self) -> None:
         """Close the socket."""
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import itertools
-import os
 
 import anyio
 import pytest
@@ -19,17 +18,9 @@
 )
 from citronspring.errors import PlatformUnavailableError
 
-#: Ports that one run of the tests uses, apart from those of a run beside it.
-PORT_RANGES = itertools.count(20_000 + os.getpid() % 200 * 50, 25)
-
 ZONES = ("drukkerij", "zetterij", "pakhuis")
 
 
-def free_ports():
-    """Return the first of 25 ports that no other test of this run uses."""
-    return next(PORT_RANGES)
-
-
 def make_host(index: int, ports: itertools.count[int] | None = None) -> Host:
     """Return a host of group ``entry`` in one of three zones."""
     ports = ports or itertools.count(10_000 + 10 * index)
--- a/tests/test_daemons/test_control.py
+++ b/tests/test_daemons/test_control.py
@@ -25,8 +25,8 @@
 pytestmark = pytest.mark.anyio
 
 
-async def start_hosts(group, sources, first_port):
-    system = Loopback(group, random.Random(1), ZONES, first_port=first_port)
+async def start_hosts(group, sources):
+    system = Loopback(group, random.Random(1), ZONES)
     sections = system.describe_hosts(len(sources))
     daemons = []
     for section, source in zip(sections, sources, strict=True):
@@ -52,7 +52,7 @@
     """
     async with anyio.create_task_group() as group:
         sources = [FixedSource(snapshot), FixedSource(None), FixedSource(None)]
-        daemons = await start_hosts(group, sources, 22_200)
+        daemons = await start_hosts(group, sources)
         await wait_until(
             lambda: all(daemon.core.tables.revision == 1 for daemon in daemons)
         )
@@ -72,7 +72,7 @@
     """
     async with anyio.create_task_group() as group:
         sources = [FixedSource(snapshot), FixedSource(snapshot)]
-        daemons = await start_hosts(group, sources, 22_300)
+        daemons = await start_hosts(group, sources)
         tables = daemons[0].core.tables
         address = (tables.me.host.control.ip, tables.me.host.control.port)
         leaving = Gossip(1, (HostUpdate("host-1", HostState.LEAVING, 1 << 50),))
--- a/tests/test_daemons/test_host.py
+++ b/tests/test_daemons/test_host.py
@@ -10,14 +10,14 @@
 from citronspring.daemons.host import HostDaemon
 from citronspring.standins.loopback import Loopback
 from citronspring.standins.service import Outcome, Request, RequestKind
-from tests.conftest import ZONES, FixedSource, free_ports
+from tests.conftest import ZONES, FixedSource
 
 pytestmark = pytest.mark.anyio
 
 
 async def test_upload_and_preview_come_back_whole(snapshot):
     async with anyio.create_task_group() as group:
-        system = Loopback(group, random.Random(1), ZONES, first_port=free_ports())
+        system = Loopback(group, random.Random(1), ZONES)
         await system.start()
         await system.add_targets(snapshot)
         sections = system.describe_hosts(3)
--- a/tests/test_daemons/test_signals.py
+++ b/tests/test_daemons/test_signals.py
@@ -24,7 +24,7 @@
     process and break every flow; here one line of JSON appears on standard error.
     """
     async with anyio.create_task_group() as group:
-        system = Loopback(group, random.Random(1), ZONES, first_port=22_100)
+        system = Loopback(group, random.Random(1), ZONES)
         (section,) = system.describe_hosts(1)
         settings = system.settings_of(section, [section], "http://127.0.0.1:1")
         daemon = HostDaemon.from_settings(settings, FixedSource(snapshot))
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -21,7 +21,6 @@
 from citronspring.standins.platform import serve_platform
 from citronspring.standins.service import Outcome, Request, RequestKind
 from citronspring.standins.system import SYSTEM_ZONES, Operator
-from tests.conftest import free_ports
 
 pytestmark = pytest.mark.anyio
 
@@ -50,12 +49,10 @@
     """
     async with anyio.create_task_group() as group:
         url = f"http://{await group.start(serve_platform, MemoryPlatform(), PLATFORM)}"
-        system = Loopback(
-            group, random.Random(3), SYSTEM_ZONES, first_port=free_ports()
-        )
+        system = Loopback(group, random.Random(3), SYSTEM_ZONES)
         async with PlatformClient.from_url(url) as client:
             store = ConfigurationStore.from_platform(client, SYSTEM_ZONES)
-            await Operator(store, time.time).set_up(free_ports())
+            await Operator(store, time.time).set_up(system.tunnel_port)
             snapshot = await store.read_snapshot()
         await system.start()
         await system.add_targets(snapshot)
