--- a/citronspring/daemons/host.py
+++ b/citronspring/daemons/host.py
@@ -14,7 +14,7 @@
 from citronspring.daemons.control import ControlChannel, wall_clock
 from citronspring.daemons.reader import PlatformReader
 from citronspring.daemons.sockets import receive_forever
-from citronspring.events import NOT_CONFIGURED, SIGNAL
+from citronspring.events import LEAVING, NOT_CONFIGURED, SIGNAL
 from citronspring.logs import log, log_application, write_dump
 from citronspring.messages import (
     LeaveRequested,
@@ -159,6 +159,7 @@
         """Start a graceful stop."""
         deadline = self.clock() + self.settings.limits.leave_seconds
         self.core.receive(LeaveRequested(deadline), self.clock())
+        log(LEAVING, seconds=self.settings.limits.leave_seconds)
         self.application.emit("leaving", deadline)
 
     def dump(self) -> dict[str, object]:
--- a/citronspring/systems/answers.py
+++ b/citronspring/systems/answers.py
@@ -22,6 +22,7 @@
     note_fin,
     promote,
 )
+from citronspring.systems.health import note_answer
 from citronspring.systems.openings import datagram_refused, target_reset_opening
 from citronspring.systems.second_chance import (
     CONFIRM_WINDOW,
@@ -95,12 +96,12 @@
             actions.append(Drop(DropReason.SWALLOWED_RESET))
     elif flow[0] != TCP:
         row.state = FlowState.ESTABLISHED
-        row.target.failures = 0
+        note_answer(row.target, now)
         del tables.openings[flow]
         actions.append(SendToCaller(packet))
     elif packet.flags & SYN:
         row.state = FlowState.ANSWERED
-        row.target.failures = 0
+        note_answer(row.target, now)
         opening.answer_seq = packet.seq
         actions.append(SendToCaller(packet))
     else:
--- a/citronspring/systems/relays.py
+++ b/citronspring/systems/relays.py
@@ -43,7 +43,10 @@
         actions.append(Drop(DropReason.UNCERTAIN))
         return
     if row is None or row.target is not proposed:
-        bind(tables, event.flow, proposed, FlowState.BACKUP, now)
+        # A copy is worth less than a row of this host's own flows: second chance
+        # finds the flow without it.
+        if tables.flows.rows.has_room(proposed.account, tables.max_flows):
+            bind(tables, event.flow, proposed, FlowState.BACKUP, now)
     elif row.state == FlowState.BACKUP:
         row.deadline = copy_deadline(event.flow, proposed.account, now)
     actions.append(SendToTarget(proposed.target.target_id, event.packet))
@@ -118,7 +121,8 @@
     actions: list[Action],
 ) -> None:
     """Let the packets go that were held; the first one the other host has sent."""
-    walk = tables.walks.pop(flow)
+    walk = tables.walks[flow]
+    del tables.walks[flow]
     bind_found(tables, flow, target, now)
     for packet in walk.packets[1:]:
         actions.append(SendToTarget(target.target.target_id, packet))
