--- a/tests/test_configuration/stepping.py
+++ b/tests/test_configuration/stepping.py
@@ -5,6 +5,7 @@
 import types
 
 from citronspring.configuration.changes import PutAccount, PutTemplate
+from citronspring.configuration.shards import HEAD, HEAD_KEY, Head, decode
 from citronspring.configuration.store import ConfigurationStore
 from citronspring.errors import CitronspringError
 from citronspring.platform.memory import MemoryPlatform
@@ -108,6 +109,16 @@
     return platform
 
 
+def head_of(platform: MemoryPlatform) -> Head:
+    """Return the head that the platform holds."""
+    return decode(HEAD, platform.values[HEAD_KEY][-1].value)
+
+
+def revision_of(platform: MemoryPlatform) -> int:
+    """Return the revision that the platform holds."""
+    return head_of(platform).revision
+
+
 def put_template(change_id: str, **changes) -> PutTemplate:
     template = {**TEMPLATE, **changes}
     return PutTemplate(change_id=change_id, author="anna", template=template)
--- a/tests/test_configuration/test_concurrency.py
+++ b/tests/test_configuration/test_concurrency.py
@@ -16,7 +16,7 @@
 
 from citronspring.configuration import prepare as prepare_module
 from citronspring.configuration.changes import DeleteAccount
-from citronspring.configuration.shards import HEAD, HEAD_KEY, decode
+from citronspring.configuration.shards import HEAD_KEY
 from citronspring.configuration.store import Committed
 from citronspring.errors import (
     ConflictError,
@@ -27,6 +27,7 @@
 from tests.test_configuration.stepping import (
     Operator,
     call,
+    head_of,
     make_platform,
     make_store,
     put,
@@ -203,7 +204,7 @@
 
     def watch_head(self):
         """Add what the newest head brought to the model."""
-        head = decode(HEAD, self.platform.values[HEAD_KEY][-1].value)
+        head = head_of(self.platform)
         known = len(self.records)
         fresh = [r for r in head.records if r.revision > known]
         assert [r.revision for r in fresh] == list(range(known + 1, head.revision + 1))
--- /dev/null
+++ b/tests/test_configuration/test_reading.py
@@ -0,0 +1,195 @@
+"""Reading what is committed, from a platform that is stale or damaged."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+
+from citronspring.configuration import prepare as prepare_module
+from citronspring.configuration.changes import DeleteAccount
+from citronspring.configuration.shards import HEAD_KEY
+from citronspring.configuration.store import Committed, ConfigurationStore
+from citronspring.errors import StoredValueError
+from citronspring.platform.memory import MemoryPlatform, Switches
+from tests.test_configuration.stepping import (
+    ZONES,
+    Operator,
+    call,
+    head_of,
+    make_platform,
+    make_store,
+    put,
+    put_template,
+    target,
+)
+
+
+def test_an_account_is_committed_and_read_back():
+    platform = make_platform()
+    change = put("1-a", targets=[target(1)], limit=7)
+    assert call(make_store(platform).commit(change, 0.0)) == Committed(2)
+    snapshot = call(make_store(platform).read_snapshot())
+    (account,) = snapshot.accounts
+    assert snapshot.revision == 2
+    assert account.limits.max_connections == 7
+    assert account.addresses[0].ip == "192.0.2.1"
+    assert [(t.target_id, t.slots, t.added_revision) for t in account.targets] == [
+        ("t1", 3, 2)
+    ]
+    entry = call(make_store(platform).read_account("bundelpers"))
+    assert [h.difference for h in entry.history] == [("created",)]
+
+
+def test_a_stale_read_never_lowers_what_a_process_knows():
+    """A replica of the platform answers with the head before the last commit.
+
+    The store keeps the newer one it knows. Taking the old one would put an old
+    configuration back in force.
+    """
+    platform = make_platform()
+    store = make_store(platform)
+    call(store.commit(put("1-a"), 0.0))
+    platform.switches = Switches(stale_reads=3)
+    assert call(store.read_snapshot()).revision == 2
+    assert call(store.read_records(1))[-1].revision == 2
+    assert call(store.read_account("bundelpers")).revision == 2
+
+
+def test_a_head_that_goes_back_is_refused():
+    """The platform is restored from an old copy: newer version, older revision.
+
+    The store refuses it and names the remedy. What was accepted stays known.
+    """
+    platform = make_platform()
+    old = platform.values[HEAD_KEY][-1].value
+    store = make_store(platform)
+    call(store.commit(put("1-a"), 0.0))
+    platform.store(HEAD_KEY, old)
+    with pytest.raises(StoredValueError, match="back"):
+        call(store.read_snapshot())
+    assert store.reader.head.revision == 2
+
+
+def test_a_shard_deleted_under_a_reader(monkeypatch):
+    """A reader holds a head whose shard was replaced and deleted meanwhile.
+
+    It reads the head again and returns the newer configuration, instead of one
+    with a hole.
+    """
+    monkeypatch.setattr(prepare_module, "RETIRED_KEPT", 1)
+    platform = make_platform()
+    writer = make_store(platform)
+    call(writer.commit(put("1-a"), 0.0))
+    first = head_of(platform).shards
+    reader = Operator(make_store(platform).read_snapshot())
+    reader.step()
+    for number in (2, 3, 4):
+        call(writer.commit(put(f"{number}-a", limit=number), 0.0))
+    assert not any(f"shard/{digest}" in platform.values for digest in first if digest)
+    snapshot = reader.finish().result
+    assert snapshot.revision == 5
+    assert len(snapshot.accounts) == 1
+
+
+def test_a_retired_shard_never_comes_into_use_again(monkeypatch):
+    """An account comes and goes, so that its shard holds the same as before.
+
+    Under the same digest it would be in use and listed for deletion at once,
+    and the next commit would delete it. The commit is part of what it holds.
+    """
+    monkeypatch.setattr(prepare_module, "RETIRED_KEPT", 1)
+    platform = make_platform()
+    store = make_store(platform)
+    body = {"limits": {"max_connections": "{limit}"}}
+    call(store.commit(put_template("1-t", body=body), 0.0))
+    for revision in range(2, 8, 2):
+        call(store.commit(put(f"{revision}-a"), 0.0))
+        delete = DeleteAccount(
+            change_id=f"{revision}-b", author="a", account_id="bundelpers"
+        )
+        call(store.commit(delete, 0.0))
+    assert call(make_store(platform).read_snapshot()).accounts == ()
+
+
+def test_a_damaged_shard_is_refused():
+    """A shard's bytes are not those its name says.
+
+    Reading it would put accounts in force that no operator accepted.
+    """
+    platform = make_platform()
+    call(make_store(platform).commit(put("1-a"), 0.0))
+    first = next(digest for digest in head_of(platform).shards if digest)
+    other = head_of(platform).templates
+    platform.store(f"shard/{first}", platform.values[f"shard/{other}"][-1].value)
+    with pytest.raises(StoredValueError, match=first):
+        call(make_store(platform).read_snapshot())
+
+
+def test_a_template_renders_its_accounts_again_in_one_commit():
+    platform = make_platform()
+    store = make_store(platform)
+    call(store.commit(put("1-a", targets=[target(1)]), 0.0))
+    call(store.commit(put("2-b", "archivio", ip="192.0.2.2", limit=5), 0.0))
+    body = {
+        "addresses": [{"ip": "{ip}", "port": 8443}],
+        "targets": "{targets}",
+        "zones": "{zones}",
+    }
+    swaps = platform.values[HEAD_KEY][-1].version
+    assert call(store.commit(put_template("3-c", body=body), 0.0)) == Committed(5)
+    assert len([v for v in platform.values[HEAD_KEY] if v.version > swaps]) == 1
+    accounts = call(store.read_snapshot()).accounts
+    assert {account.addresses[0].port for account in accounts} == {8443}
+    assert accounts[1].targets[0].added_revision == 2
+    records = call(store.read_records(3))
+    assert [(r.revision, r.account_id) for r in records] == [
+        (4, "archivio"),
+        (5, "bundelpers"),
+    ]
+
+
+def test_every_revision_has_one_record_until_they_are_forgotten(monkeypatch):
+    """A host that lags asks for records that the head no longer has.
+
+    It gets None and takes the snapshot. Records with a gap would leave it at a
+    revision that it only partly has.
+    """
+    monkeypatch.setattr(prepare_module, "RECORDS_KEPT", 3)
+    platform = make_platform()
+    store = make_store(platform)
+    for number in range(1, 6):
+        call(store.commit(put(f"{number}-a", limit=number), 0.0))
+    records = call(make_store(platform).read_records(3))
+    assert [record.revision for record in records] == [4, 5, 6]
+    assert call(make_store(platform).read_records(2)) is None
+    assert call(make_store(platform).read_records(6)) == ()
+    monkeypatch.setattr(prepare_module, "RECORDS_BYTES", 10)
+    call(store.commit(put("6-a"), 0.0))
+    assert call(make_store(platform).read_records(6)) is None
+
+
+def test_a_process_that_only_reads_keeps_no_definitions():
+    platform = make_platform()
+    call(make_store(platform).commit(put("1-a"), 0.0))
+    reader = make_store(platform)
+    assert len(call(reader.read_snapshot()).accounts) == 1
+    assert not list(reader.reader.catalog.entries())
+
+
+@pytest.mark.anyio
+async def test_a_watch_ends_at_the_next_revision():
+    platform = MemoryPlatform()
+    writer = ConfigurationStore.from_platform(platform, ZONES)
+    reader = ConfigurationStore.from_platform(platform, ZONES)
+    seen = []
+
+    async def watch():
+        seen.append(await reader.watch_head(0))
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(watch)
+        await anyio.wait_all_tasks_blocked()
+        assert seen == []
+        await writer.commit(put_template("0-web"), 0.0)
+    assert seen == [1]
+    assert await reader.watch_head(0) == 1
