--- a/citronspring/systems/limits.py
+++ b/citronspring/systems/limits.py
@@ -67,6 +67,11 @@
     return max(1, part_of(whole, len(positions), position + seed))
 
 
+def least_part(tables: Tables, whole: int) -> int:
+    """Return what every owner holds of a limit at least; cheap, for the hot path."""
+    return whole // (len(tables.ring.positions) + 1)
+
+
 def connection_part(tables: Tables, account: AccountRow, host_id: str) -> int:
     """Return an owner's part of an account's connections."""
     whole = account.account.limits.max_connections
@@ -79,6 +84,15 @@
     return part - lent(tables, account, now) + borrowed(tables, account, now)
 
 
+def may_connect(tables: Tables, account: AccountRow, now: float) -> bool:
+    """Whether this host may hold one more flow of the account open."""
+    if account.promised_until == 0.0:
+        whole = account.account.limits.max_connections
+        if account.open_flows < least_part(tables, whole):
+            return True
+    return account.open_flows < connection_allowance(tables, account, now)
+
+
 def lent(tables: Tables, account: AccountRow, now: float) -> int:
     """Return how much of its own part this host must leave to its peers.
 
@@ -177,9 +191,11 @@
     they report can only narrow it.
     """
     whole = row.target.max_connections
-    if row.flows >= owner_part(tables, whole, row.seed, tables.host_id):
+    if row.flows + row.remote_flows >= whole:
         return False
-    return row.flows + row.remote_flows < whole
+    if row.flows < least_part(tables, whole):
+        return True
+    return row.flows < owner_part(tables, whole, row.seed, tables.host_id)
 
 
 def admit(
@@ -191,7 +207,7 @@
     rows_left = tables.flows.rows.has_room(account, tables.max_flows)
     if not rows_left or not tables.openings.has_room(account, MAX_OPENINGS):
         return RefusalReason.TABLE_FULL, now + RETRY_AFTER
-    if account.open_flows >= connection_allowance(tables, account, now):
+    if not may_connect(tables, account, now):
         return RefusalReason.ACCOUNT_CONNECTIONS, now + RETRY_AFTER
     rate = limits.new_per_second / max(1, len(tables.ring.members))
     burst = max(1.0, rate * BURST_SECONDS)
--- a/citronspring/systems/placement.py
+++ b/citronspring/systems/placement.py
@@ -69,8 +69,11 @@
 
 def load_of(tables: Tables, row: TargetRow, now: float) -> float:
     """Return how full a target looks to one more flow; only good to compare."""
-    part = row.target.max_connections
-    return (flows_on(tables, row) + 1.0) / part * weight_of(row, now)
+    flows = row.flows * (1 + tables.silent_peers) + row.remote_flows + 1.0
+    share = flows / row.target.max_connections
+    if row.notes is None and row.warm_at <= now:
+        return share
+    return share * weight_of(row, now)
 
 
 def usable(
