--- a/citronspring/systems/routing.py
+++ b/citronspring/systems/routing.py
@@ -49,6 +49,7 @@
     CONFIRM_WINDOW,
     begin_walk,
     hold,
+    is_certain,
     near,
     second_does_not_know,
 )
@@ -309,7 +310,7 @@
     """Handle a caller's packet of a flow that is unknown here."""
     account = tables.services.get(service_key_of(packet.flow))
     if account is None:
-        refuse_unknown_service(packet, now, actions)
+        refuse_unknown_service(tables, packet, now, actions)
     elif packet.unreachable:
         actions.append(Drop(DropReason.UNCERTAIN))
     elif not owns(tables, packet.flow):
@@ -338,9 +339,15 @@
     actions.append(Relay(RelayKind.ASK, owner, packet.flow, packet))
 
 
-def refuse_unknown_service(packet: Packet, now: float, actions: list[Action]) -> None:
-    """Refuse an opening to an address no client account has."""
-    if packet.flags & SYN:
+def refuse_unknown_service(
+    tables: Tables, packet: Packet, now: float, actions: list[Action]
+) -> None:
+    """Refuse an opening to an address no client account has.
+
+    A host that has no configuration yet, or has heard of a newer one, cannot know
+    that: its refusal would end an opening that every other host serves.
+    """
+    if packet.flags & SYN and tables.revision and is_certain(tables):
         retry_at = now + RETRY_AFTER
         actions.append(Refuse(packet, RefusalReason.NO_SERVICE, retry_at))
     else:
