--- a/citronspring/systems/placement.py
+++ b/citronspring/systems/placement.py
@@ -9,8 +9,9 @@
 
 from typing import TYPE_CHECKING
 
+from xxhash import xxh64_intdigest
+
 from citronspring.messages import RefusalReason
-from citronspring.rendezvous import score
 from citronspring.systems.health import is_out, weight_of
 from citronspring.systems.limits import has_room
 
@@ -46,7 +47,8 @@
 
 def rank_targets(flow: FlowKey, rows: list[TargetRow]) -> list[TargetRow]:
     """Return target rows from the highest rendezvous weight to the lowest."""
-    return sorted(rows, key=lambda row: score(flow, row.seed), reverse=True)
+    # As `score`, without a call of its own for each target of each new flow.
+    return sorted(rows, key=lambda row: xxh64_intdigest(flow, row.seed), reverse=True)
 
 
 def placement_window(flow: FlowKey, account: AccountRow, now: float) -> list[TargetRow]:
@@ -126,10 +128,20 @@
     candidates = eligible[:count]
     if flow[0] == UDP:
         return first_within_bound(tables, candidates)
-    return min(
-        candidates,
-        key=lambda row: (load_of(tables, row, now), row.target.zone != tables.zone),
-    )
+    return least_loaded(tables, candidates, now)
+
+
+def least_loaded(tables: Tables, candidates: list[TargetRow], now: float) -> TargetRow:
+    """Return the least loaded candidate; of equals, the first in this host's zone."""
+    zone = tables.zone
+    best = candidates[0]
+    lightest = load_of(tables, best, now)
+    for row in candidates[1:]:
+        load = load_of(tables, row, now)
+        nearer = row.target.zone == zone != best.target.zone
+        if load < lightest or load == lightest and nearer:
+            best, lightest = row, load
+    return best
 
 
 def first_within_bound(tables: Tables, candidates: list[TargetRow]) -> TargetRow:
--- a/citronspring/tables.py
+++ b/citronspring/tables.py
@@ -313,7 +313,8 @@
         if earlier is not None:
             self.note(earlier.account, -1)
         super().__setitem__(flow, row)
-        self.note(row.account, 1)
+        account = row.account
+        self.held[account] = self.held.get(account, 0) + 1
 
     def __delitem__(self, flow: FlowKey) -> None:
         row = self[flow]
