--- a/citronspring/systems/placement.py
+++ b/citronspring/systems/placement.py
@@ -69,15 +69,6 @@
     return row.flows * (1 + tables.silent_peers) + row.remote_flows
 
 
-def load_of(tables: Tables, row: TargetRow, now: float) -> float:
-    """Return how full a target looks to one more flow; only good to compare."""
-    flows = row.flows * (1 + tables.silent_peers) + row.remote_flows + 1.0
-    share = flows / row.target.max_connections
-    if row.notes is None and row.warm_at <= now:
-        return share
-    return share * weight_of(row, now)
-
-
 def usable(
     tables: Tables, window: list[TargetRow], free: list[TargetRow], now: float
 ) -> list[TargetRow]:
@@ -115,6 +106,12 @@
 ) -> TargetRow | RefusalReason:
     """Return the target for a new flow, or why there is none."""
     window = placement_window(flow, account, now)
+    if window and not tried and flow[0] != UDP:
+        # Mostly nothing is wrong with the least loaded of all, and no need to look
+        # at the others' health and room.
+        best = least_loaded(tables, among(window, window), now)
+        if has_room(tables, best) and not is_out(tables, best, now):
+            return best
     untried = [row for row in window if row not in tried]
     if not untried:
         return RefusalReason.NO_HEALTHY_TARGET
@@ -124,22 +121,34 @@
     eligible = usable(tables, window, free, now)
     if not eligible:
         return RefusalReason.NO_HEALTHY_TARGET
-    count = len(eligible) if len(window) <= ALL_CANDIDATES else CANDIDATES
-    candidates = eligible[:count]
+    candidates = among(window, eligible)
     if flow[0] == UDP:
         return first_within_bound(tables, candidates)
     return least_loaded(tables, candidates, now)
 
 
+def among(window: list[TargetRow], eligible: list[TargetRow]) -> list[TargetRow]:
+    """Return the eligible targets that are compared by load."""
+    return eligible if len(window) <= ALL_CANDIDATES else eligible[:CANDIDATES]
+
+
 def least_loaded(tables: Tables, candidates: list[TargetRow], now: float) -> TargetRow:
-    """Return the least loaded candidate; of equals, the first in this host's zone."""
+    """Return the least full candidate; of equals, the first in this host's zone.
+
+    What `flows_on` and `weight_of` say stands here without calls: this loop is a
+    fifth of what a new flow costs.
+    """
+    hosts = 1 + tables.silent_peers
     zone = tables.zone
-    best = candidates[0]
-    lightest = load_of(tables, best, now)
-    for row in candidates[1:]:
-        load = load_of(tables, row, now)
-        nearer = row.target.zone == zone != best.target.zone
-        if load < lightest or load == lightest and nearer:
+    best, lightest = candidates[0], float("inf")
+    for row in candidates:
+        flows = row.flows * hosts + row.remote_flows + 1.0
+        load = flows / row.target.max_connections
+        if row.notes is not None or row.warm_at > now:
+            load *= weight_of(row, now)
+        if load > lightest:
+            continue
+        if load < lightest or row.target.zone == zone != best.target.zone:
             best, lightest = row, load
     return best
 
