--- a/citronspring/systems/limits.py
+++ b/citronspring/systems/limits.py
@@ -152,15 +152,13 @@
 
 def take_promise(
     tables: Tables, account: AccountRow, peer: str, open_flows: int, now: float
-) -> bool:
-    """Keep what a peer promised; return whether it is pressed instead."""
+) -> None:
+    """Keep what a peer promised, or note that it is pressed."""
     if account.uses is None:
         account.uses = {}
     account.uses[peer] = PeerUse(open_flows, now)
-    pressed = open_flows >= connection_part(tables, account, peer)
-    if pressed:
+    if open_flows >= connection_part(tables, account, peer):
         account.pressed_until = now + PRESSED_LIFETIME
-    return pressed
 
 
 def is_pressed(tables: Tables, account: AccountRow, now: float) -> bool:
--- a/citronspring/systems/loads.py
+++ b/citronspring/systems/loads.py
@@ -19,7 +19,7 @@
 
 if TYPE_CHECKING:
     from citronspring.messages import Action
-    from citronspring.tables import AccountRow, Tables, TargetRow
+    from citronspring.tables import Tables, TargetRow
 
 #: Seconds between two messages of a host.
 TELL_INTERVAL = 0.5
@@ -187,7 +187,7 @@
     for use in message.accounts:
         account = tables.accounts.get(use.account_id)
         if account is not None:
-            take_use(tables, peer, account, use, now)
+            take_promise(tables, account, peer, use.open_flows, now)
 
 
 def take_entry(
@@ -220,14 +220,6 @@
         row.remote_flows += flows
 
 
-def take_use(
-    tables: Tables, peer: str, account: AccountRow, use: AccountUse, now: float
-) -> None:
-    """Keep a peer's promise; a pressed peer needs this host's in return."""
-    if take_promise(tables, account, peer, use.open_flows, now):
-        keep_awake(tables, account, now)
-
-
 def expire_counts(tables: Tables, peer: str, now: float) -> None:
     """Drop counts of a peer that were not repeated."""
     counts = tables.loads.counts.get(peer, {})
