--- a/citronspring/systems/loads.py
+++ b/citronspring/systems/loads.py
@@ -49,6 +49,16 @@
 #: A probed state is as urgent as this many flows of change.
 NOTE_URGENCY = 8.0
 
+#: How much fresh counts of peers matter in placement.
+FRESH_WEIGHT = 0.5
+
+#: Counts are fresh if every peer is told all of them within this many seconds.
+#: Older ones make imbalance worse, so that they are neither told nor used.
+FRESH_CYCLE = 10.0
+
+#: Entries that go into one message, for the length of the cycle.
+TYPICAL_ENTRIES = 18
+
 #: One byte of load stands for 0.0 to 2.0.
 LOAD_SCALE = 127.5
 LOAD_MAX = 255
@@ -78,6 +88,7 @@
         return
     loads.turn += 1
     peer = peers[loads.turn % len(peers)]
+    loads.weight = FRESH_WEIGHT if is_cycle_short(tables, len(peers)) else 0.0
     expire_counts(tables, peer, now)
     message = message_for(tables, peer, now)
     if message.targets or message.accounts:
@@ -86,6 +97,13 @@
         actions.append(SendControl(peer, message))
 
 
+def is_cycle_short(tables: Tables, peers: int) -> bool:
+    """Whether the budget lets every peer know all counts while they are fresh."""
+    entries = sum(len(row.targets) for row in tables.active_accounts.values())
+    messages = peers * (1 + entries // TYPICAL_ENTRIES)
+    return messages * TELL_INTERVAL <= FRESH_CYCLE
+
+
 def message_for(tables: Tables, peer: str, now: float) -> Loads:
     """Return the most urgent entries for a peer, and note them as told."""
     uses = account_uses(tables, now)
@@ -116,6 +134,7 @@
 def candidates_for(tables: Tables, peer: str, now: float) -> list[Candidate]:
     """Return every entry that the peer does not know, with its urgency."""
     told = tables.loads.told.get(peer, {})
+    fresh = tables.loads.weight > 0.0
     found: list[Candidate] = []
     seen: set[str] = set()
     for account in tables.active_accounts.values():
@@ -123,7 +142,10 @@
             target_id = row.target.target_id
             seen.add(target_id)
             entry = entry_of(tables, row, now)
-            urgency = urgency_of(entry, told.get(target_id), now)
+            earlier = told.get(target_id)
+            if earlier is not None and entry.healthy is None and not fresh:
+                continue
+            urgency = urgency_of(entry, earlier, now)
             if urgency > 0.0:
                 found.append(Candidate(urgency, entry))
     for target_id, earlier in told.items():
--- a/citronspring/systems/placement.py
+++ b/citronspring/systems/placement.py
@@ -58,9 +58,14 @@
 def flows_on(tables: Tables, row: TargetRow) -> float:
     """Return the open flows of a target over all hosts, as far as known.
 
-    A host of which nothing is known is taken to have placed as much as this one.
+    All owners see the same target as the emptiest. Did each make up the whole
+    difference by itself, new flows would herd there until it is the fullest; so
+    what peers told counts by a part, and not at all once it is old.
     """
-    return row.flows * (1 + tables.silent_peers) + row.remote_flows
+    weight = tables.loads.weight
+    own = row.flows * len(tables.ring.members)
+    told = row.flows * (1 + tables.silent_peers) + row.remote_flows
+    return (1.0 - weight) * own + weight * told
 
 
 def load_of(tables: Tables, row: TargetRow, now: float) -> float:
--- a/citronspring/tables.py
+++ b/citronspring/tables.py
@@ -388,6 +388,8 @@
     tell_at: float = 0.0
     #: Messages so far; says whose turn it is.
     turn: int = 0
+    #: How much what peers told counts in placement, 0.0 to 1.0.
+    weight: float = 0.0
     #: Version of the ring that the peers were last compared with.
     ring_version: int = 0
 
