--- a/citronspring/cli/main.py
+++ b/citronspring/cli/main.py
@@ -24,8 +24,6 @@
 )
 from citronspring.cli.try_command import try_system
 from citronspring.errors import CitronspringError
-from citronspring.logs import configure_logs
-from citronspring.settings import LogsSection
 from citronspring.settings_errors import shown
 
 if TYPE_CHECKING:
@@ -44,8 +42,7 @@
 
 
 def run_try(invocation: Invocation) -> int:
-    """Run the small system; only warnings may stand between its own lines."""
-    configure_logs(LogsSection(format="console", level="warning"))
+    """Run the small system."""
     return try_system(invocation.arguments)
 
 
--- a/citronspring/standins/loopback.py
+++ b/citronspring/standins/loopback.py
@@ -11,7 +11,13 @@
 
 from citronspring.daemons.host import HostDaemon
 from citronspring.entities import Endpoint
-from citronspring.settings import FabricSection, HostSection, PlatformSection, Settings
+from citronspring.settings import (
+    AdminSection,
+    FabricSection,
+    HostSection,
+    PlatformSection,
+    Settings,
+)
 from citronspring.standins.caller import Caller
 from citronspring.standins.fabric import Fabric
 from citronspring.standins.target import TargetServer
@@ -85,6 +91,7 @@
             fabric=FabricSection(gateway=self.gateway),
             platform=PlatformSection(url=platform_url, zones=self.zones),
             peers=others,
+            admin=AdminSection(listen=Endpoint(section.tunnel.ip, next(self.ports))),
         )
 
     async def add_host(self, daemon: HostDaemon) -> None:
