--- a/citronspring/standins/loopback.py
+++ b/citronspring/standins/loopback.py
@@ -14,7 +14,13 @@
 from citronspring.daemons.sockets import bind_udp
 from citronspring.entities import Endpoint
 from citronspring.errors import SettingsError
-from citronspring.settings import FabricSection, HostSection, PlatformSection, Settings
+from citronspring.settings import (
+    AdminSection,
+    FabricSection,
+    HostSection,
+    PlatformSection,
+    Settings,
+)
 from citronspring.standins.caller import Caller
 from citronspring.standins.fabric import Fabric
 from citronspring.standins.target import TargetServer
@@ -114,6 +120,7 @@
             fabric=FabricSection(gateway=self.gateway),
             platform=PlatformSection(url=platform_url, zones=self.zones),
             peers=others,
+            admin=AdminSection(listen=Endpoint(section.tunnel.ip, next(self.ports))),
         )
 
     async def add_host(self, daemon: HostDaemon) -> None:
