--- a/citronspring/control/budget.py
+++ b/citronspring/control/budget.py
@@ -6,8 +6,7 @@
 
 from __future__ import annotations
 
-import heapq
-import itertools
+from collections import deque
 from dataclasses import dataclass, field
 from enum import IntEnum
 from typing import TYPE_CHECKING, Generic, TypeVar
@@ -16,10 +15,9 @@
     Ack,
     Gossip,
     Loads,
+    Members,
     Ping,
     PingRequest,
-    Records,
-    RecordsRequest,
     SnapshotPart,
 )
 
@@ -28,8 +26,9 @@
 
 Item = TypeVar("Item")
 
-#: Bytes a second of a host, headers included, bulk copies apart.
-BYTES_PER_SECOND = 4096
+#: Bytes a second of a host, headers included, bulk copies apart. With what may be
+#: borrowed it stays below 4,096 over any twelve seconds.
+BYTES_PER_SECOND = 3500
 
 #: Bytes a second that a host gives for bulk copies to others that start.
 BULK_BYTES_PER_SECOND = 65_536
@@ -50,12 +49,13 @@
     #: Pings, with leaving, suspicion and the revision on them: small, and a host
     #: that can't answer them is held dead.
     HEARTBEAT = 0
-    #: Change records.
+    #: Change records, and questions for what is missing.
     REVISION = 1
-    #: Member lists and requests for copies.
-    REQUEST = 2
+    #: News of hosts beside that on pings. When many hosts come and go at once
+    #: it must not keep pings back, or it would make ever more news.
+    NEWS = 2
     LOAD = 3
-    #: Metered apart.
+    #: Copies of the configuration and of the list of members; metered apart.
     BULK = 4
 
 
@@ -63,7 +63,7 @@
 BORROWED = {
     Urgency.HEARTBEAT: 2.0,
     Urgency.REVISION: 1.5,
-    Urgency.REQUEST: 1.0,
+    Urgency.NEWS: 1.25,
     Urgency.LOAD: 0.5,
     Urgency.BULK: 0.5,
 }
@@ -72,27 +72,26 @@
 def urgency_of(message: ControlMessage) -> Urgency:
     """Return the class of a message."""
     match message:
-        case Ping() | Ack() | PingRequest() | Gossip():
+        case Ping() | Ack() | PingRequest():
             return Urgency.HEARTBEAT
-        case Records() | RecordsRequest():
-            return Urgency.REVISION
-        case SnapshotPart():
-            return Urgency.BULK
+        case Gossip():
+            return Urgency.NEWS
         case Loads():
             return Urgency.LOAD
+        case SnapshotPart() | Members():
+            return Urgency.BULK
         case _:
-            return Urgency.REQUEST
+            return Urgency.REVISION
 
 
-@dataclass(slots=True, order=True)
+@dataclass(slots=True)
 class Waiting(Generic[Item]):
     """A datagram that waits for the budget."""
 
-    urgency: Urgency
-    serial: int
-    deadline: float = field(compare=False)
-    size: int = field(compare=False)
-    item: Item = field(compare=False)
+    item: Item
+    size: int
+    #: Stale from this time on.
+    deadline: float
 
 
 @dataclass(slots=True)
@@ -102,46 +101,47 @@
     #: Times at which what went out so far is paid off.
     paid_at: float = 0.0
     bulk_paid_at: float = 0.0
-    waiting: list[Waiting[Item]] = field(default_factory=list)
-    serial: itertools.count[int] = field(default_factory=itertools.count)
+    waiting: dict[Urgency, deque[Waiting[Item]]] = field(
+        default_factory=lambda: {urgency: deque() for urgency in Urgency}
+    )
     #: Datagrams that were given up.
     dropped: int = 0
 
+    def count(self) -> int:
+        """Return how many datagrams wait."""
+        return sum(map(len, self.waiting.values()))
+
     def offer(self, item: Item, urgency: Urgency, size: int, now: float) -> None:
         """Queue a datagram; above the bound the least urgent one is dropped."""
-        entry = Waiting(urgency, next(self.serial), now + WAIT_TIME, size, item)
-        heapq.heappush(self.waiting, entry)
-        if len(self.waiting) > MAX_WAITING:
-            self.waiting.remove(max(self.waiting))
-            heapq.heapify(self.waiting)
+        self.waiting[urgency].append(Waiting(item, size, now + WAIT_TIME))
+        if self.count() > MAX_WAITING:
+            last = max(urgency for urgency, queue in self.waiting.items() if queue)
+            self.waiting[last].pop()
             self.dropped += 1
 
     def release(self, now: float) -> list[Item]:
         """Return what may go now, the most urgent first."""
         released: list[Item] = []
-        kept: list[Waiting[Item]] = []
-        while self.waiting:
-            entry = heapq.heappop(self.waiting)
-            if entry.deadline <= now:
+        for urgency, queue in self.waiting.items():
+            while queue and queue[0].deadline <= now:
+                queue.popleft()
                 self.dropped += 1
-            elif self.pay(entry, now):
-                released.append(entry.item)
-            else:
-                kept.append(entry)
-        self.waiting = kept
+            while queue and self.pay(urgency, queue[0].size, now):
+                released.append(queue.popleft().item)
         return released
 
-    def pay(self, entry: Waiting[Item], now: float) -> bool:
+    def pay(self, urgency: Urgency, size: int, now: float) -> bool:
         """Charge a datagram if its class may go; return whether it may."""
-        bytes_sent = entry.size + IP_UDP_HEADERS
-        if entry.urgency is Urgency.BULK:
+        ahead = BORROWED[urgency]
+        if urgency is Urgency.BULK:
             start = max(self.bulk_paid_at, now)
-            if start - now > BORROWED[entry.urgency]:
+            if start - now > ahead:
                 return False
-            self.bulk_paid_at = start + bytes_sent / BULK_BYTES_PER_SECOND
+            seconds = (size + IP_UDP_HEADERS) / BULK_BYTES_PER_SECOND
+            self.bulk_paid_at = start + seconds
             return True
         start = max(self.paid_at, now)
-        if start - now > BORROWED[entry.urgency]:
+        if start - now > ahead:
             return False
-        self.paid_at = start + bytes_sent / BYTES_PER_SECOND
+        self.paid_at = start + (size + IP_UDP_HEADERS) / BYTES_PER_SECOND
         return True
--- a/citronspring/control/tables.py
+++ b/citronspring/control/tables.py
@@ -92,6 +92,8 @@
     """The member list, being copied from a peer part by part."""
 
     part: int = 0
+    #: Whether this copy brought members; another follows then.
+    found: bool = False
     #: Another peer is asked at this time.
     retry_at: float = 0.0
 
@@ -142,8 +144,10 @@
     """A whole configuration, being copied from a peer part by part."""
 
     peer: str
-    #: Another peer is asked at this time, unless a part comes first.
+    #: Another peer is asked at this time, unless this one sent enough by then.
     retry_at: float
+    #: Parts that had arrived when the peer was last judged.
+    judged_at: int = 0
     revision: int = 0
     #: Number of parts; unknown before the first.
     parts: int | None = None
--- a/citronspring/systems/bulk.py
+++ b/citronspring/systems/bulk.py
@@ -27,8 +27,11 @@
 WINDOW = 4
 PART_RETRY = 0.3
 
-#: Seconds without any part after which another peer is asked.
+#: Seconds in which a peer must send so many of the missing parts, or another is
+#: asked. Hosts that start together know the same few peers at first; without it
+#: they would all wait for these.
 PEER_TIME = 1.0
+PEER_PARTS = 16
 
 #: Seconds an offered copy is kept after the last question for it.
 OFFER_TIME = 30.0
@@ -164,9 +167,8 @@
     if bulk is None or message.revision < bulk.revision:
         return None
     if message.revision > bulk.revision or bulk.parts != message.parts:
-        restart(bulk, message)
+        restart(bulk, sender, message)
     bulk.received[message.part] = message.accounts
-    bulk.retry_at = now + PEER_TIME
     if len(bulk.received) < message.parts:
         return None
     spread.bulk = None
@@ -175,8 +177,10 @@
     return Snapshot(message.revision, accounts)
 
 
-def restart(bulk: BulkRow, message: SnapshotPart) -> None:
+def restart(bulk: BulkRow, sender: str, message: SnapshotPart) -> None:
     """Begin again with a newer configuration; parts of two must never mix."""
+    bulk.peer = sender
+    bulk.judged_at = 0
     bulk.revision = message.revision
     bulk.parts = message.parts
     bulk.received.clear()
@@ -193,7 +197,7 @@
         tables.spread.bulk = None
         return
     if now >= bulk.retry_at:
-        change_peer(tables, bulk, now)
+        judge_peer(tables, bulk, now)
     for part in missing_parts(bulk, now)[:WINDOW]:
         bulk.ask_again_at[part] = now + PART_RETRY
         request = SnapshotRequest(bulk.revision, part)
@@ -207,11 +211,13 @@
     return [part for part in under_way if bulk.ask_again_at.get(part, 0.0) <= now]
 
 
-def change_peer(tables: Tables, bulk: BulkRow, now: float) -> None:
-    """Turn to another peer, one that is known to have a configuration if any."""
+def judge_peer(tables: Tables, bulk: BulkRow, now: float) -> None:
+    """Turn to another peer if this one is slow or silent."""
     bulk.retry_at = now + PEER_TIME
+    arrived = len(bulk.received) - bulk.judged_at
+    bulk.judged_at = len(bulk.received)
+    if arrived >= PEER_PARTS:
+        return
     bulk.ask_again_at.clear()
-    present = present_hosts(tables)
-    able = [name for name in present if tables.hosts[name].revision > tables.revision]
-    for peer in sample(tables.membership.rng, able or present, 1):
+    for peer in sample(tables.membership.rng, present_hosts(tables), 1):
         bulk.peer = peer
--- a/citronspring/systems/dissemination.py
+++ b/citronspring/systems/dissemination.py
@@ -96,13 +96,29 @@
         return False
     if update.incarnation > row.incarnation:
         tables.membership.introduced.discard(update.host_id)
+    if is_news(update, row):
+        queue_update(tables, without_known_host(update, row))
     set_state(tables, row, update.state, now)
     row.incarnation = update.incarnation
     row.host = update.host or row.host
-    queue_update(tables, update)
     return True
 
 
+def is_news(update: HostUpdate, row: HostRow) -> bool:
+    """Whether others need to hear of it from here.
+
+    The first word of a host that the settings name is none: passed on, it would
+    fill the budget of a fleet that starts, and pings would wait behind it.
+    """
+    first = row.incarnation == 0 and row.state is HostState.ALIVE
+    return not first or update.state is not HostState.ALIVE
+
+
+def without_known_host(update: HostUpdate, row: HostRow) -> HostUpdate:
+    """Return news without sockets that everybody who knows the host has."""
+    return replace(update, host=None) if update.host == row.host else update
+
+
 def add_host(tables: Tables, update: HostUpdate) -> bool:
     """Add a host that is new here; news without sockets or of the dead is none."""
     if update.host is None or update.state not in PRESENT:
@@ -186,8 +202,3 @@
 def introduction(tables: Tables) -> HostUpdate:
     """Return this host's own sockets and state."""
     return describe(tables.me, with_host=True)
-
-
-def without_host(update: HostUpdate) -> HostUpdate:
-    """Return news without the sockets."""
-    return replace(update, host=None)
--- a/citronspring/systems/membership.py
+++ b/citronspring/systems/membership.py
@@ -11,7 +11,7 @@
     Ping,
     PingRequest,
 )
-from citronspring.control.tables import ForwardRow, ProbeRow, sample
+from citronspring.control.tables import ForwardRow, JoinRow, ProbeRow, sample
 from citronspring.entities import HostState
 from citronspring.messages import SendControl
 from citronspring.systems.dissemination import (
@@ -294,16 +294,31 @@
     What is in the list is no news to others: passing it on would cost a fleet
     that starts at once more than all else.
     """
+    found = False
     for update in message.updates:
         if update.host_id not in tables.hosts:
-            add_host(tables, update)
+            found = add_host(tables, update) or found
     join = tables.membership.join
     if join is None or join.part != message.part:
         return
+    join.found = join.found or found
     join.part += 1
     join.retry_at = now
     if join.part >= message.parts:
+        end_copy(tables, join, now)
+
+
+def end_copy(tables: Tables, join: JoinRow, now: float) -> None:
+    """End, or copy again: a peer that starts as well may know as little.
+
+    In the end the host tells of itself: those who copied it from others' lists
+    pass no news of it on.
+    """
+    if not join.found:
         tables.membership.join = None
+        queue_update(tables, introduction(tables))
+        return
+    tables.membership.join = JoinRow(retry_at=now + JOIN_RETRY)
 
 
 def take_host_list(tables: Tables, event: HostListRead, now: float) -> None:
