Tell members and news of hosts apart; introduce a joiner with its request

A member that a ping names for anti-entropy was taken for news by hosts that did not know it and passed on by all of them. Pings now carry members apart.

--- a/citronspring/control/codec.py
+++ b/citronspring/control/codec.py
@@ -121,8 +121,9 @@
 def write_message(message: ControlMessage) -> ttypes.Message:
     """Return the union that holds a message."""
     match message:
-        case Ping(sequence, revision, updates):
-            ping = ttypes.Ping(sequence, revision, write_updates(updates))
+        case Ping(sequence, revision, updates, members):
+            news = write_updates(updates)
+            ping = ttypes.Ping(sequence, revision, news, write_updates(members) or None)
             return ttypes.Message(ping=ping)
         case Ack(sequence, revision, updates):
             ack = ttypes.Ack(sequence, revision, write_updates(updates))
@@ -134,8 +135,9 @@
         case Gossip(revision, updates):
             gossip = ttypes.Gossip(revision, write_updates(updates))
             return ttypes.Message(gossip=gossip)
-        case MembersRequest(part):
-            return ttypes.Message(members_request=ttypes.MembersRequest(part))
+        case MembersRequest(part, updates):
+            request = ttypes.MembersRequest(part, write_updates(updates))
+            return ttypes.Message(members_request=request)
         case Members(part, parts, updates):
             members = ttypes.Members(part, parts, write_updates(updates))
             return ttypes.Message(members=members)
@@ -195,7 +197,7 @@
     """Return the message of a generated struct."""
     match struct:
         case ttypes.Ping():
-            return Ping(*read_heartbeat(struct))
+            return Ping(*read_heartbeat(struct), items(struct.members, read_update))
         case ttypes.Ack():
             return Ack(*read_heartbeat(struct))
         case ttypes.PingRequest():
@@ -206,7 +208,8 @@
             revision = integer(struct.revision, "revision")
             return Gossip(revision, items(struct.updates, read_update))
         case ttypes.MembersRequest():
-            return MembersRequest(integer(struct.part, "part", MAX_PARTS))
+            part = integer(struct.part, "part", MAX_PARTS)
+            return MembersRequest(part, items(struct.updates, read_update))
         case ttypes.Members():
             part, parts = read_part(struct, least=0)
             return Members(part, parts, items(struct.updates, read_update))
--- a/citronspring/control/control.thrift
+++ b/citronspring/control/control.thrift
@@ -77,6 +77,7 @@
   1: i64 sequence
   2: i64 revision
   3: list<HostUpdate> updates
+  4: optional list<HostUpdate> members
 }
 
 struct Ack {
@@ -99,6 +100,7 @@
 
 struct MembersRequest {
   1: i32 part
+  2: list<HostUpdate> updates
 }
 
 struct Members {
--- a/citronspring/control/messages.py
+++ b/citronspring/control/messages.py
@@ -30,6 +30,8 @@
     #: The sender's configuration revision, for anti-entropy.
     revision: int
     updates: tuple[HostUpdate, ...] = ()
+    #: Members as the sender knows them, which are no news to be passed on.
+    members: tuple[HostUpdate, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,6 +66,8 @@
     """Please send one part of the list of members."""
 
     part: int
+    #: The sender itself, unless the receiver is known to know it.
+    updates: tuple[HostUpdate, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/citronspring/control/tables.py
+++ b/citronspring/control/tables.py
@@ -91,6 +91,8 @@
 class JoinRow:
     """The member list, being copied from a peer part by part."""
 
+    #: Copies so far, this one included.
+    copies: int = 1
     part: int = 0
     #: Whether this copy brought members; another follows then.
     found: bool = False
--- a/citronspring/systems/bulk.py
+++ b/citronspring/systems/bulk.py
@@ -31,7 +31,7 @@
 #: asked. Hosts that start together know the same few peers at first; without it
 #: they would all wait for these.
 PEER_TIME = 1.0
-PEER_PARTS = 16
+PEER_PARTS = 30
 
 #: Seconds an offered copy is kept after the last question for it.
 OFFER_TIME = 30.0
--- a/citronspring/systems/control.py
+++ b/citronspring/systems/control.py
@@ -44,8 +44,10 @@
     """Handle one authenticated message from another host."""
     message, sender = event.message, event.sender
     match message:
-        case Ping() | Ack() | PingRequest() | Gossip():
+        case Ping() | Ack() | PingRequest() | Gossip() | MembersRequest():
             take_updates(tables, message.updates, now)
+    if isinstance(message, Ping):
+        take_updates(tables, message.members, now, news=False)
     if sender not in tables.hosts or sender == tables.host_id:
         # There is no address to answer to; a host in doubt introduces itself.
         tables.counters["control.unknown-sender"] += 1
--- a/citronspring/systems/dissemination.py
+++ b/citronspring/systems/dissemination.py
@@ -42,8 +42,10 @@
 #: Seconds between two rounds in which fresh news goes to random hosts.
 GOSSIP_INTERVAL = 0.2
 
-#: Hosts it goes to in a round.
+#: Hosts it goes to in a round; one is enough while there is much news, since all
+#: have something to tell then, and two would take half of the budget.
 GOSSIP_FANOUT = 2
+MUCH_NEWS = 12
 
 
 def present_hosts(tables: Tables) -> list[str]:
@@ -62,13 +64,30 @@
     return RANKS[update.state] > RANKS[row.state]
 
 
-def take_updates(tables: Tables, updates: tuple[HostUpdate, ...], now: float) -> None:
-    """Take news of hosts from a message."""
+def take_updates(
+    tables: Tables, updates: tuple[HostUpdate, ...], now: float, news: bool = True
+) -> bool:
+    """Take what a message says of hosts; return whether it brought new ones.
+
+    Parameters
+    ----------
+    tables : Tables
+        The state.
+    updates : tuple of HostUpdate
+        What is said.
+    now : float
+        The time.
+    news : bool
+        Whether to pass it on. To a host that joins every member is new; if it
+        told of them all, a fleet that restarts would fill its budget with it.
+    """
+    found = False
     for update in updates:
         if update.host_id == tables.host_id:
             refute(tables, update)
         else:
-            take_update(tables, update, now)
+            found = take_update(tables, update, now, news) or found
+    return found
 
 
 def refute(tables: Tables, update: HostUpdate) -> None:
@@ -84,24 +103,24 @@
         queue_update(tables, describe(me))
 
 
-def take_update(tables: Tables, update: HostUpdate, now: float) -> bool:
-    """Take news of another host; return whether it was new."""
+def take_update(tables: Tables, update: HostUpdate, now: float, news: bool) -> bool:
+    """Take what is said of another host; return whether the host is new here."""
     row = tables.hosts.get(update.host_id)
     if row is None:
-        if not add_host(tables, update):
-            return False
-        queue_update(tables, update)
-        return True
+        added = add_host(tables, update)
+        if added and news:
+            queue_update(tables, update)
+        return added
     if not outranks(update, row):
         return False
     if update.incarnation > row.incarnation:
         tables.membership.introduced.discard(update.host_id)
-    if is_news(update, row):
+    if news and is_news(update, row):
         queue_update(tables, without_known_host(update, row))
     set_state(tables, row, update.state, now)
     row.incarnation = update.incarnation
     row.host = update.host or row.host
-    return True
+    return False
 
 
 def is_news(update: HostUpdate, row: HostRow) -> bool:
@@ -186,7 +205,8 @@
     membership = tables.membership
     if not membership.updates:
         return
-    for peer in sample(membership.rng, present_hosts(tables), GOSSIP_FANOUT):
+    fanout = 1 if len(membership.updates) > MUCH_NEWS else GOSSIP_FANOUT
+    for peer in sample(membership.rng, present_hosts(tables), fanout):
         message = Gossip(tables.revision, next_updates(tables))
         actions.append(SendControl(peer, message))
 
--- a/citronspring/systems/membership.py
+++ b/citronspring/systems/membership.py
@@ -18,7 +18,6 @@
     GOSSIP_INTERVAL,
     PRESENT,
     SUSPECT_TIME,
-    add_host,
     describe,
     gossip,
     introduction,
@@ -26,6 +25,7 @@
     present_hosts,
     queue_update,
     set_state,
+    take_updates,
 )
 
 if TYPE_CHECKING:
@@ -48,6 +48,9 @@
 #: Members in one message.
 MEMBERS_PER_PART = 10
 
+#: Times that a starting host copies the list while each copy brings members.
+MOST_COPIES = 3
+
 #: Seconds a peer has to send its list of members.
 JOIN_RETRY = 0.5
 
@@ -131,18 +134,17 @@
     host_id: str,
     sequence: int,
     actions: list[Action],
-    updates: tuple[HostUpdate, ...] = (),
+    members: tuple[HostUpdate, ...] = (),
 ) -> None:
     """Ping a host; tell it what is said of it, and who is asking."""
     row = tables.hosts[host_id]
-    first = [update for update in updates if update.host_id != host_id]
-    if row.state is not HostState.ALIVE:
-        first.append(describe(row))
+    first = [] if row.state is HostState.ALIVE else [describe(row)]
     if host_id not in tables.membership.introduced:
-        first = [item for item in first if item.host_id != tables.host_id]
         first.append(introduction(tables))
-    message = Ping(sequence, tables.revision, next_updates(tables, *first))
-    actions.append(SendControl(host_id, message))
+    updates = next_updates(tables, *first)
+    actions.append(
+        SendControl(host_id, Ping(sequence, tables.revision, updates, members))
+    )
 
 
 def retry_probes(tables: Tables, now: float, actions: list[Action]) -> None:
@@ -271,9 +273,9 @@
         return
     join.retry_at = now + JOIN_RETRY
     for peer in sample(tables.membership.rng, present_hosts(tables), 1):
-        if peer not in tables.membership.introduced:
-            send_ping(tables, peer, tables.membership.next_sequence(), actions)
-        actions.append(SendControl(peer, MembersRequest(join.part)))
+        known = peer in tables.membership.introduced
+        updates = () if known else (introduction(tables),)
+        actions.append(SendControl(peer, MembersRequest(join.part, updates)))
 
 
 def receive_members_request(
@@ -289,15 +291,8 @@
 
 
 def receive_members(tables: Tables, message: Members, now: float) -> None:
-    """Add members that are new here, and go on to the next part, or end.
-
-    What is in the list is no news to others: passing it on would cost a fleet
-    that starts at once more than all else.
-    """
-    found = False
-    for update in message.updates:
-        if update.host_id not in tables.hosts:
-            found = add_host(tables, update) or found
+    """Add members that are new here, and go on to the next part, or end."""
+    found = take_updates(tables, message.updates, now, news=False)
     join = tables.membership.join
     if join is None or join.part != message.part:
         return
@@ -314,11 +309,11 @@
     In the end the host tells of itself: those who copied it from others' lists
     pass no news of it on.
     """
-    if not join.found:
+    if not join.found or join.copies >= MOST_COPIES:
         tables.membership.join = None
         queue_update(tables, introduction(tables))
         return
-    tables.membership.join = JoinRow(retry_at=now + JOIN_RETRY)
+    tables.membership.join = JoinRow(join.copies + 1, retry_at=now + JOIN_RETRY)
 
 
 def take_host_list(tables: Tables, event: HostListRead, now: float) -> None:
