Let experiments move servers between client accounts, read stale values and answer from elsewhere

Trials before it showed faults of the fixture only: a server was purged four seconds too early, and counted under its old account after the change was in force.

--- a/citronspring/daemons/reader.py
+++ b/citronspring/daemons/reader.py
@@ -18,6 +18,7 @@
     from citronspring.balancer import Balancer
     from citronspring.entities import ChangeRecord, Snapshot
     from citronspring.messages import Action, Event
+    from citronspring.tables import Tables
 
 #: Seconds a watch waits before it is asked anew.
 WATCH_TIME = 30.0
@@ -115,7 +116,7 @@
         """While this host is a reader, tell the platform what its zone is at."""
         while True:
             await anyio.sleep(LOOK_INTERVAL)
-            revision = self.zone_revision()
+            revision = zone_revision(self.core.tables)
             if self.core.tables.spread.is_reader and revision > self.confirmed:
                 await self.wait_for_retry()
                 await self.attempt(self.confirm_once)
@@ -159,17 +160,19 @@
             if await self.source.watch_head(revision) > revision:
                 await self.read()
 
-    def zone_revision(self) -> int:
-        """Return the lowest revision that a serving host of this zone told of."""
-        tables = self.core.tables
-        return min(
-            row.revision
-            for row in tables.hosts.values()
-            if row.host.zone == tables.zone and row.state in SERVING
-        )
-
     async def confirm_once(self) -> None:
         """Tell the platform what this zone is at."""
         with anyio.fail_after(READ_TIME):
             zone = self.core.tables.zone
-            self.confirmed = await self.source.confirm_zone(zone, self.zone_revision())
+            self.confirmed = await self.source.confirm_zone(
+                zone, zone_revision(self.core.tables)
+            )
+
+
+def zone_revision(tables: Tables) -> int:
+    """Return the lowest revision that a serving host of this host's zone told of."""
+    return min(
+        row.revision
+        for row in tables.hosts.values()
+        if row.host.zone == tables.zone and row.state in SERVING
+    )
--- a/citronspring/experiments/faults.py
+++ b/citronspring/experiments/faults.py
@@ -2,22 +2,32 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
-from citronspring.configuration.changes import DrainTarget
-from citronspring.experiments.history import Disturbed
+from typing import TYPE_CHECKING, Any
+
+from citronspring.configuration.changes import DrainTarget, PurgeTarget, PutAccount
+from citronspring.entities import Endpoint
+from citronspring.errors import MoveRefusedError
+from citronspring.experiments.checker import IN_FORCE_WITHIN
+from citronspring.experiments.coroutines import pause, start
+from citronspring.experiments.history import ChangeRefused, Disturbed
 from citronspring.experiments.scenario import FaultKind
-from citronspring.messages import LeaveRequested
+from citronspring.messages import ACK, LeaveRequested
 from citronspring.standins.system import (
     ACCOUNT_SIZES,
     SYSTEM_ZONES,
     account_parameters,
-    target_parameters,
 )
+from citronspring.standins.tcp import Segment, State
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from citronspring.experiments.run import Run
     from citronspring.experiments.scenario import Fault
+    from citronspring.standins.system import Operator
+
+#: Place in a flow key of the last byte of the service address.
+SERVICE_INDEX = 4
 
 #: Seconds a leaving host serves what is in flight.
 LEAVE_TIME = 20.0
@@ -31,6 +41,19 @@
 #: Targets of an account that an operator leaves active.
 LEAST_TARGETS = 2
 
+#: Reads that answer with an old version.
+STALE_READS = 6
+
+#: Bytes that a rogue target puts into others' flows.
+ROGUE_BYTES = 100
+
+#: Client accounts between which a server moves.
+MOVES_FROM = "bundelpers"
+MOVES_TO = "inzendloket"
+
+#: Seconds between two tries of an operator who moves a server.
+MOVE_INTERVAL = 0.5
+
 #: Most targets an account grows to.
 MOST_TARGETS = 12
 
@@ -61,6 +84,14 @@
         case FaultKind.LOST_ANSWER:
             run.platform.switches.lost_answers += 1
             change_limits(run, run.rng.choice(sorted(ACCOUNT_SIZES)))
+        case FaultKind.STALE_READ:
+            run.platform.switches.stale_reads += STALE_READS
+            change_limits(run, run.rng.choice(sorted(ACCOUNT_SIZES)))
+            kill_host(run)
+        case FaultKind.ROGUE_TARGET:
+            answer_from_elsewhere(run)
+        case FaultKind.TARGET_MOVE:
+            move_target(run)
         case FaultKind.ZONE_CUT:
             cut_zone(run, fault)
 
@@ -120,12 +151,9 @@
 
 
 def active_targets(run: Run, account_id: str) -> list[str]:
-    """Return the targets of an account that nobody drained."""
-    return [
-        target_id
-        for target_id in run.network.targets
-        if target_id.startswith(account_id) and target_id not in run.drained
-    ]
+    """Return the listed targets of an account that nobody drained."""
+    listed = [parameters["target_id"] for parameters in run.listed[account_id]]
+    return [target_id for target_id in listed if target_id not in run.drained]
 
 
 def drain_target(run: Run) -> None:
@@ -146,29 +174,24 @@
 def add_target(run: Run) -> None:
     """Start a target and have an operator add it."""
     account_id = run.rng.choice(sorted(ACCOUNT_SIZES))
-    number = sum(key.startswith(account_id) for key in run.network.targets)
-    if number >= MOST_TARGETS:
-        return
-    run.add_target(account_id, number)
-    put_parameters(run, account_id, "add")
+    if run.next_number[account_id] < MOST_TARGETS:
+        run.add_target(account_id)
+        change_limits(run, account_id)
 
 
-def put_parameters(run: Run, account_id: str, note: str) -> None:
-    """Have an operator put an account with all targets that run now."""
-    numbers = sum(key.startswith(account_id) for key in run.network.targets)
+def put_account(run: Run, operator: Operator, account_id: str) -> PutAccount:
+    """Return the change that puts an account as it is listed, with other limits."""
     parameters = account_parameters(account_id, 0)
-    parameters["targets"] = [
-        target_parameters(account_id, number, SYSTEM_ZONES) for number in range(numbers)
-    ]
+    parameters["targets"] = list(run.listed[account_id])
     parameters["new_per_second"] = float(run.rng.randint(5_000, 10_000))
-    operator = run.make_operator(lambda: True)
-    change = operator.put_account(account_id, parameters)
-    run.submit(change.change_id, operator.commit(change), None)
+    return operator.put_account(account_id, parameters)
 
 
 def change_limits(run: Run, account_id: str) -> None:
-    """Have an operator change an account's limits."""
-    put_parameters(run, account_id, "limits")
+    """Have an operator put an account with other limits."""
+    operator = run.make_operator(lambda: True)
+    change = put_account(run, operator, account_id)
+    run.submit(change.change_id, operator.commit(change), None)
 
 
 def race_operators(run: Run) -> None:
@@ -189,6 +212,75 @@
     run.network.after(fault.until - fault.at, end)
 
 
+def answer_from_elsewhere(run: Run) -> None:
+    """Have a target answer flows of another client account, in their numbers."""
+    rogue = active_targets(run, "inzendloket")[0]
+    for flow, connection in list(run.network.callers.connections.items()):
+        if flow[SERVICE_INDEX] == 1 and connection.state is State.ESTABLISHED:
+            bytes_of_others = Segment(
+                ACK, connection.expected, connection.next_seq, b"x" * ROGUE_BYTES
+            )
+            run.network.send_answers(rogue, [(flow, bytes_of_others)])
+
+
+def move_target(run: Run) -> None:
+    """Have an operator move a server from one client account to the other."""
+    active = active_targets(run, MOVES_FROM)
+    if len(active) <= LEAST_TARGETS:
+        return
+    target_id = run.rng.choice(active)
+    run.drained.add(target_id)
+    operator = run.make_operator(lambda: True)
+    start(run.network, move(run, operator, target_id), lambda finished: None)
+
+
+async def move(run: Run, operator: Operator, target_id: str) -> None:
+    """Move a server: unlist it, wait until it is empty, purge it, list it elsewhere.
+
+    The operator gives up where the platform does; the refusals of the last step
+    say which zones have not confirmed that the address was let go.
+    """
+    listed = run.listed[MOVES_FROM]
+    [parameters] = [item for item in listed if item["target_id"] == target_id]
+    listed.remove(parameters)
+    await operator.commit(put_account(run, operator, MOVES_FROM))
+    # Until every host has heard, it may still get new flows.
+    await pause(IN_FORCE_WITHIN)
+    while run.network.targets[target_id].open_count:
+        await pause(MOVE_INTERVAL)
+    purge = PurgeTarget(
+        account_id=MOVES_FROM, target_id=target_id, **operator.identity()
+    )
+    await operator.commit(purge)
+    moved = {**parameters, "target_id": f"{MOVES_TO}-from-{target_id}"}
+    run.listed[MOVES_TO].append(moved)
+    while not await take_over(run, operator, moved):
+        await pause(MOVE_INTERVAL)
+
+
+async def take_over(run: Run, operator: Operator, moved: Mapping[str, Any]) -> bool:
+    """List a server at its new account; return whether the zones let it pass."""
+    change = put_account(run, operator, MOVES_TO)
+    ip = Endpoint.from_text(moved["tunnel"]).ip
+    # The change is in force a little before the operator hears of it.
+    run.servers[ip] = frozenset((MOVES_FROM, MOVES_TO))
+    try:
+        await operator.commit(change)
+    except MoveRefusedError as error:
+        run.servers[ip] = frozenset((MOVES_FROM,))
+        entry = ChangeRefused(run.network.now, change.change_id, error.kind)
+        run.history.add(entry)
+        return False
+    run.servers[ip] = frozenset((MOVES_TO,))
+    stack = run.network.targets.pop(
+        moved["target_id"].removeprefix(f"{MOVES_TO}-from-")
+    )
+    run.network.targets[moved["target_id"]] = stack
+    run.network.zones[moved["target_id"]] = moved["zone"]
+    run.accepted[moved["target_id"]] = len(stack.accepted_at)
+    return True
+
+
 def outage(run: Run, fault: Fault) -> None:
     """Take the platform away for a while."""
     now = run.network.now
--- a/citronspring/experiments/run.py
+++ b/citronspring/experiments/run.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from citronspring.balancer import Balancer
 from citronspring.configuration.shards import HEAD_KEY
 from citronspring.configuration.store import ConfigurationStore
+from citronspring.daemons.reader import zone_revision
 from citronspring.entities import Endpoint, Host
 from citronspring.errors import CitronspringError
 from citronspring.experiments.coroutines import DelayedPlatform, start
@@ -39,16 +41,20 @@
     SERVICE_PORT,
     SYSTEM_ZONES,
     Operator,
+    target_parameters,
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Coroutine
+    from collections.abc import Callable, Coroutine, Mapping
 
     from citronspring.experiments.coroutines import Finished
     from citronspring.experiments.scenario import Scenario
     from citronspring.messages import Action
     from citronspring.standins.service import Request
 
+#: Place in a service key of the last byte of the address, which tells accounts apart.
+SERVICE_INDEX = 4
+
 #: Where the platform is, for cuts.
 PLATFORM = "platform"
 
@@ -89,6 +95,14 @@
     operators: int = 0
     #: Targets that an operator drained or is draining.
     drained: set[str] = field(default_factory=set)
+    #: Parameters of the targets that each client account lists.
+    listed: dict[str, list[dict[str, Any]]] = field(default_factory=dict)
+    #: Client accounts whose packets each server may get, by tunnel address.
+    servers: dict[str, frozenset[str]] = field(default_factory=dict)
+    #: Number of the next target of each client account.
+    next_number: Counter[str] = field(default_factory=Counter)
+    #: Revision that each reader last confirmed for its zone.
+    confirmed: dict[str, int] = field(default_factory=dict)
 
     @classmethod
     def from_scenario(cls, scenario: Scenario) -> Run:
@@ -117,8 +131,9 @@
         self.network.run_until(1.0)
         assert done and done[0].error is None, done
         for account_id, count in ACCOUNT_SIZES.items():
-            for number in range(count):
-                self.add_target(account_id, number)
+            self.listed[account_id] = []
+            for _ in range(count):
+                self.add_target(account_id)
         for index in range(self.scenario.hosts):
             self.describe_host(index)
         for host_id in list(self.described):
@@ -166,16 +181,20 @@
         if host_id in self.network.sprayed and host_id not in self.network.hosts:
             self.network.sprayed.remove(host_id)
 
-    def add_target(self, account_id: str, number: int) -> None:
-        """Start a target."""
-        target_id = f"{account_id}-{number}"
-        zone = SYSTEM_ZONES[number % len(SYSTEM_ZONES)]
+    def add_target(self, account_id: str) -> None:
+        """Start a server and list it as the account's next target."""
+        number = self.next_number[account_id]
+        self.next_number[account_id] += 1
+        parameters = target_parameters(account_id, number, SYSTEM_ZONES)
+        target_id = parameters["target_id"]
+        self.listed[account_id].append(parameters)
+        self.servers[tunnel_ip(parameters)] = frozenset((account_id,))
 
         def on_run(request: Request) -> None:
             entry = RequestRan(self.network.now, request.request_id, target_id)
             self.history.add(entry)
 
-        self.network.add_target(target_id, zone, on_run)
+        self.network.add_target(target_id, parameters["zone"], on_run)
         self.accepted[target_id] = 0
 
     # Operators and readers ----------------------------------------------------
@@ -183,9 +202,7 @@
     def make_operator(self, reachable: Callable[[], bool]) -> Operator:
         """Return an operator with a store of their own."""
         self.operators += 1
-        store = ConfigurationStore.from_platform(
-            self.platform_for(reachable), SYSTEM_ZONES
-        )
+        store = self.make_store(reachable)
         return Operator(
             store, lambda: self.network.now, name=f"operator-{self.operators}"
         )
@@ -221,9 +238,7 @@
         def reachable() -> bool:
             return self.network.connected(host_id, PLATFORM)
 
-        store = ConfigurationStore.from_platform(
-            self.platform_for(reachable), SYSTEM_ZONES
-        )
+        store = self.make_store(reachable)
 
         def done(finished: Finished) -> None:
             if finished.error is None and self.network.hosts.get(host_id) is core:
@@ -236,12 +251,16 @@
     # Watching -----------------------------------------------------------------
 
     def observe(self, host_id: str, action: Action) -> None:
-        """Note a packet that goes to a target of another client account."""
+        """Note a packet that goes to a server of another client account."""
         if not isinstance(action, SendToTarget):
             return
+        core = self.network.hosts[host_id]
+        row = core.tables.targets.get(action.target_id)
+        if row is None:
+            return
         key = service_key_of(action.packet.flow)
-        account_id = list(ACCOUNT_SIZES)[key[4] - 1]
-        if not action.target_id.startswith(account_id):
+        account_id = list(ACCOUNT_SIZES)[key[SERVICE_INDEX] - 1]
+        if account_id not in self.servers[row.target.tunnel.ip]:
             entry = ForeignPacket(
                 self.network.now, account_id, action.target_id, host_id
             )
@@ -264,6 +283,7 @@
             if host_id in self.network.stopped:
                 self.end_host(host_id)
             self.watch_head(host_id, core)
+            self.confirm_zone(host_id, core)
         for target_id, stack in self.network.targets.items():
             for at in stack.accepted_at[self.accepted[target_id] :]:
                 self.history.add(WorkAccepted(at, target_id))
@@ -283,6 +303,29 @@
             self.watched[host_id] = version
             self.read_platform(host_id, core.tables.revision)
 
+    def confirm_zone(self, host_id: str, core: Balancer) -> None:
+        """Have a reader tell the platform what its zone is at."""
+        tables = core.tables
+        revision = zone_revision(tables)
+        reachable = self.network.connected(host_id, PLATFORM)
+        if not tables.spread.is_reader or host_id in self.network.frozen:
+            return
+        if reachable and revision > self.confirmed.get(host_id, 0):
+            self.confirmed[host_id] = revision
+            store = self.make_store(lambda: self.network.connected(host_id, PLATFORM))
+            confirmation = store.confirm_zone(tables.zone, revision)
+
+            def done(finished: Finished) -> None:
+                if finished.error is not None:
+                    self.confirmed.pop(host_id, None)
+
+            start(self.network, confirmation, done)
+
+    def make_store(self, reachable: Callable[[], bool]) -> ConfigurationStore:
+        """Return a store of one process, which knows nothing yet."""
+        platform = self.platform_for(reachable)
+        return ConfigurationStore.from_platform(platform, SYSTEM_ZONES)
+
     def run(self) -> History:
         """Run the scenario to its end; return the history."""
         self.start()
@@ -301,6 +344,11 @@
         return self.history
 
 
+def tunnel_ip(parameters: Mapping[str, Any]) -> str:
+    """Return the tunnel address in a target's parameters."""
+    return Endpoint.from_text(parameters["tunnel"]).ip
+
+
 async def read_newer(
     store: ConfigurationStore, revision: int, asked_at: float
 ) -> SnapshotRead | RecordsRead:
--- a/citronspring/experiments/scenario.py
+++ b/citronspring/experiments/scenario.py
@@ -23,6 +23,9 @@
     TARGET_ADD = "target-add"
     TARGET_SHED = "target-shed"
     LOST_ANSWER = "lost-answer"
+    STALE_READ = "stale-read"
+    ROGUE_TARGET = "rogue-target"
+    TARGET_MOVE = "target-move"
 
 
 #: Faults of which every pair must meet in some run.
@@ -36,6 +39,12 @@
     FaultKind.OPERATOR_RACE,
 )
 
+#: Faults that a run gets besides, up to three of them.
+BESIDES = tuple(kind for kind in FaultKind if kind is not FaultKind.TARGET_MOVE)
+
+#: Share of runs in which a target moves from one client account to another.
+MOVE_SHARE = 0.3
+
 #: Every unordered pair, a kind with itself included: anything may come twice.
 PAIRS = tuple(itertools.combinations_with_replacement(PAIRED, 2))
 
@@ -83,8 +92,10 @@
         start = rng.uniform(QUIET_START, duration / 2)
         kinds = [(start, first), (start + rng.uniform(0.0, PAIR_GAP), second)]
         for _ in range(rng.randint(0, 3)):
-            kind = rng.choice(list(FaultKind))
+            kind = rng.choice(BESIDES)
             kinds.append((rng.uniform(QUIET_START, duration), kind))
+        if rng.random() < MOVE_SHARE:
+            kinds.append((QUIET_START, FaultKind.TARGET_MOVE))
         faults = [
             Fault(at, kind, at + rng.uniform(SHORTEST_FAULT, LONGEST_FAULT))
             for at, kind in sorted(kinds, key=lambda item: item[0])
