Work changes out in a worker thread, so that commits hold up no packets

Cause: a commit runs on a host that serves. Changing the template of 10,000 accounts took 1.8 to 2.4 s, all of it in the event loop: a task that wakes every millisecond waited 2.4 s.

The runner is an argument, as tests and histories run without an event loop.

Seen to fail with the safeguard taken out: test_changes_are_worked_out_where_the_caller_says.

--- a/citronspring/configuration/store.py
+++ b/citronspring/configuration/store.py
@@ -5,6 +5,9 @@
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
+import anyio
+import anyio.to_thread
+
 from citronspring.configuration.changes import (
     check_change,
     make_change_id,
@@ -43,7 +46,13 @@
     from citronspring.configuration.changes import AnyChange
     from citronspring.configuration.plan import Draft
     from citronspring.configuration.prepare import Prepared
-    from citronspring.configuration.shards import AccountEntry, Head, TemplateEntry
+    from citronspring.configuration.running import Runner
+    from citronspring.configuration.shards import (
+        AccountEntry,
+        Head,
+        Release,
+        TemplateEntry,
+    )
     from citronspring.entities import ChangeRecord, Snapshot
     from citronspring.platform.port import Platform
 
@@ -84,10 +93,16 @@
     zones: frozenset[str]
     reader: CatalogReader
     confirmations: ZoneConfirmations
+    #: Where changes are worked out. In the event loop, a template of thousands
+    #: of accounts would hold up every packet for seconds.
+    run: Runner
 
     @classmethod
     def from_platform(
-        cls, platform: Platform, zones: Iterable[str]
+        cls,
+        platform: Platform,
+        zones: Iterable[str],
+        run: Runner = anyio.to_thread.run_sync,
     ) -> ConfigurationStore:
         """Make a store that knows nothing yet.
 
@@ -99,13 +114,15 @@
             The listed zones: accounts may name no other, and addresses move
             only when all of them have confirmed. Raises SettingsError when
             there is none, as addresses would then move unconfirmed.
+        run : callable
+            Runs what takes long; :func:`run_in_place` needs no event loop.
         """
         listed = frozenset(zones)
         if not listed:
             raise SettingsError("no zones are listed", "list every availability zone")
         reader = CatalogReader(platform)
         confirmations = ZoneConfirmations(platform)
-        return cls(platform, listed, reader, confirmations)
+        return cls(platform, listed, reader, confirmations, run)
 
     def new_change_id(self, token: str) -> str:
         """Make a change id from the newest revision known."""
@@ -183,10 +200,11 @@
         self, catalog: Catalog, change: AnyChange, attempt: Attempt, now: float
     ) -> Prepared:
         """Check a change against a catalog and write its shards."""
-        draft = plan(catalog, change, self.zones, now)
+        draft = await self.run(plan, catalog, change, self.zones, now)
         try:
             confirmed = await self.check_moves(draft)
-            prepared = prepare(draft, attempt.orphans, confirmed)
+            orphans = tuple(attempt.orphans)
+            prepared = await self.run(prepare, draft, orphans, confirmed)
             for digest, value in prepared.values.items():
                 await self.write_shard(digest, value)
                 attempt.orphans.append(digest)
@@ -200,13 +218,10 @@
         They are read only when an address that the draft takes left another
         account before.
         """
-        catalog = draft.catalog
-        taken = taken_by(catalog, draft.touched)
-        refuse_used(catalog, draft.touched, taken)
-        in_the_way = releases_in_the_way(taken, catalog.releases())
+        in_the_way = await self.run(find_releases, draft)
         if not in_the_way and not crowded(draft):
             return {}
-        zones = self.zones | zones_of(catalog)
+        zones = self.zones | zones_of(draft.catalog)
         confirmed = await self.confirmations.read(zones)
         refuse_unconfirmed(in_the_way, confirmed)
         return confirmed
@@ -320,6 +335,17 @@
         return await self.confirmations.confirm(zone, revision)
 
 
+def find_releases(draft: Draft) -> list[Release]:
+    """Return the releases of addresses that a draft takes, if no account has them.
+
+    Raises MoveRefusedError when another account has one.
+    """
+    catalog = draft.catalog
+    taken = taken_by(catalog, draft.touched)
+    refuse_used(catalog, draft.touched, taken)
+    return releases_in_the_way(taken, catalog.releases())
+
+
 def crowded(draft: Draft) -> bool:
     """Whether a shard to be written should forget confirmed releases."""
     shards = draft.catalog.shards
--- a/tests/test_configuration/stepping.py
+++ b/tests/test_configuration/stepping.py
@@ -5,6 +5,7 @@
 import types
 
 from citronspring.configuration.changes import PutAccount, PutTemplate
+from citronspring.configuration.running import run_in_place
 from citronspring.configuration.shards import HEAD, HEAD_KEY, Head, decode
 from citronspring.configuration.store import ConfigurationStore
 from citronspring.errors import CitronspringError
@@ -99,7 +100,8 @@
 
 def make_store(platform: MemoryPlatform) -> ConfigurationStore:
     """Make the store of one more process."""
-    return ConfigurationStore.from_platform(SteppedPlatform(platform), ZONES)
+    stepped = SteppedPlatform(platform)
+    return ConfigurationStore.from_platform(stepped, ZONES, run_in_place)
 
 
 def make_platform() -> MemoryPlatform:
--- a/tests/test_configuration/test_store.py
+++ b/tests/test_configuration/test_store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import anyio.to_thread
 import pytest
 
 from citronspring.configuration import prepare as prepare_module
@@ -311,3 +312,28 @@
         anna.step()
     assert isinstance(anna.finish().error, PlatformUnavailableError)
     assert revision_of(platform) == 3
+
+
+def test_changes_are_worked_out_where_the_caller_says():
+    """A template of thousands of accounts is changed on a host that serves.
+
+    Working it out takes seconds. In the event loop it would hold up every
+    packet of the host, so it goes to the runner, a worker thread by default.
+    """
+    platform = make_platform()
+    store = make_store(platform)
+    functions = []
+
+    async def run(function, *args):
+        functions.append(function)
+        return function(*args)
+
+    store.run = run
+    call(store.commit(put("1-a"), 0.0))
+    assert functions == [
+        store_module.plan,
+        store_module.find_releases,
+        store_module.prepare,
+    ]
+    default = ConfigurationStore.from_platform(platform, ["pakhuis"])
+    assert default.run is anyio.to_thread.run_sync
