--- a/citronspring/demonstration.py
+++ b/citronspring/demonstration.py
@@ -33,7 +33,7 @@
 SETTLE_SECONDS = 8.0
 
 #: New short requests a second.
-ARRIVALS = 40.0
+ARRIVALS = 120.0
 
 #: Size in bytes and rate in bytes a second of the long flows.
 LONG_SIZE = 120_000
@@ -53,8 +53,8 @@
 
 HOSTS = 3
 
-#: Where the platform's stand-in listens.
-PLATFORM_ENDPOINT = Endpoint("127.0.3.4", 20_999)
+#: Where the platform's stand-in listens; port 0 stands for any free one.
+PLATFORM_ENDPOINT = Endpoint("127.0.3.4", 0)
 
 
 @dataclass(slots=True)
@@ -248,14 +248,16 @@
         Called with each line of progress.
     """
     async with anyio.create_task_group() as group:
-        await group.start(serve_platform, MemoryPlatform(), PLATFORM_ENDPOINT)
-        url = f"http://{PLATFORM_ENDPOINT}"
+        platform = await group.start(
+            serve_platform, MemoryPlatform(), PLATFORM_ENDPOINT
+        )
+        url = f"http://{platform}"
+        system = Loopback(group, random.Random(seed), SYSTEM_ZONES)
         async with PlatformClient.from_url(url) as client:
             store = ConfigurationStore.from_platform(client, SYSTEM_ZONES)
             operator = Operator(store, time.time)
-            await operator.set_up()
+            await operator.set_up(system.tunnel_port)
             snapshot = await store.read_snapshot()
-            system = Loopback(group, random.Random(seed), SYSTEM_ZONES)
             await start_system(system, snapshot, store, url)
             say(f"{HOSTS} hosts and {len(system.targets)} targets run")
             run = Demonstration(system, operator, snapshot.accounts, say)
