--- a/citronspring/serving.py
+++ b/citronspring/serving.py
@@ -75,7 +75,7 @@
     """Serve an ASGI application until cancelled.
 
     The task starts with the endpoint it listens on: port 0 stands for any free
-    port.
+    port. Without TLS files it serves in clear text.
 
     Parameters
     ----------
