--- a/citronspring/serving.py
+++ b/citronspring/serving.py
@@ -75,7 +75,7 @@
     """Serve an ASGI application until cancelled.
 
     The task starts with the endpoint it listens on: port 0 stands for any free
-    port. Without TLS files it serves in clear text.
+    port.
 
     Parameters
     ----------
@@ -83,6 +83,8 @@
         What to serve.
     endpoint : Endpoint
         Where to listen.
+    tls : TlsFiles, optional
+        Certificate and key; without them it serves in clear text.
     stop : callable
         Ends the requests that wait in the application when the server stops.
     task_status : TaskStatus
