Believe another host only about the account that has the flow's address

Now what a peer says of a flow holds only for targets of the account that has the address here; a retired address keeps its open flows and refuses new ones; a claimed one ends what the earlier account had open.

--- a/citronspring/systems/hints.py
+++ b/citronspring/systems/hints.py
@@ -13,6 +13,7 @@
     SendToCaller,
     SendToTarget,
 )
+from citronspring.systems.services import target_of
 from citronspring.tables import FlowState, HintRow
 
 if TYPE_CHECKING:
@@ -75,7 +76,7 @@
 
 def take_hint(tables: Tables, event: RelayReceived, now: float) -> None:
     """Keep a hint, if it comes from the owner this host knows."""
-    target = tables.targets.get(event.target_id or "")
+    target = target_of(tables, event.flow, event.target_id)
     owner = tables.ring.pair(event.flow)[0]
     if target is None or owner != event.sender:
         return
--- a/citronspring/systems/placement.py
+++ b/citronspring/systems/placement.py
@@ -61,17 +61,22 @@
     return rank_targets(flow, placeable)[:WINDOW]
 
 
-def flows_on(tables: Tables, row: TargetRow) -> float:
-    """Return the open flows of a target over all hosts, as far as known.
+def load_factors(tables: Tables) -> tuple[float, float]:
+    """Return what a flow of this host counts for, and one that a peer told of.
 
     All owners see the same target as the emptiest. Did each make up the whole
     difference by itself, new flows would herd there until it is the fullest; so
     what peers told counts by a part, and not at all once it is old.
     """
-    weight = tables.loads.weight
-    own = row.flows * len(tables.ring.members)
-    told = row.flows * (1 + tables.silent_peers) + row.remote_flows
-    return (1.0 - weight) * own + weight * told
+    told = tables.loads.weight
+    alone = len(tables.ring.members)
+    return (1.0 - told) * alone + told * (1 + tables.silent_peers), told
+
+
+def flows_on(tables: Tables, row: TargetRow) -> float:
+    """Return the open flows of a target over all hosts, as far as known."""
+    own, told = load_factors(tables)
+    return row.flows * own + row.remote_flows * told
 
 
 def usable(
@@ -138,16 +143,12 @@
 
 
 def least_loaded(tables: Tables, candidates: list[TargetRow], now: float) -> TargetRow:
-    """Return the least full candidate; of equals, the first in this host's zone.
-
-    What `flows_on` and `weight_of` say stands here without calls: this loop is a
-    fifth of what a new flow costs.
-    """
-    hosts = 1 + tables.silent_peers
+    """Return the least full candidate; of equals, the first in this host's zone."""
+    own, told = load_factors(tables)
     zone = tables.zone
     best, lightest = candidates[0], float("inf")
     for row in candidates:
-        flows = row.flows * hosts + row.remote_flows + 1.0
+        flows = row.flows * own + row.remote_flows * told + 1.0
         load = flows / row.target.max_connections
         if row.notes is not None or row.warm_at > now:
             load *= weight_of(row, now)
--- a/citronspring/systems/relays.py
+++ b/citronspring/systems/relays.py
@@ -20,6 +20,7 @@
     copy_deadline,
     owns,
 )
+from citronspring.systems.services import target_of
 from citronspring.tables import FlowState
 
 if TYPE_CHECKING:
@@ -33,7 +34,7 @@
 ) -> None:
     """As second-ranked host, keep a copy of the owner's binding and forward."""
     assert event.packet is not None
-    proposed = tables.targets.get(event.target_id or "")
+    proposed = target_of(tables, event.flow, event.target_id)
     row = known(tables, event.flow)
     if row is not None and row.target is not proposed and prevails(row, event.packet):
         actions.append(SendToTarget(row.target.target.target_id, event.packet))
@@ -100,7 +101,7 @@
     Only where this host has nothing better: an answer to a question may arrive
     after a walk has found the flow elsewhere.
     """
-    target = tables.targets.get(event.target_id or "")
+    target = target_of(tables, event.flow, event.target_id)
     if target is None:
         return
     flow = event.flow
--- a/citronspring/systems/revisions.py
+++ b/citronspring/systems/revisions.py
@@ -7,6 +7,11 @@
 from citronspring.rendezvous import service_key
 from citronspring.systems.binding import forget
 from citronspring.systems.health import RAMP_TIME
+from citronspring.systems.services import (
+    claim_address,
+    release_addresses,
+    retire_address,
+)
 from citronspring.tables import AccountRow, TargetRow
 
 if TYPE_CHECKING:
@@ -63,11 +68,11 @@
         row = AccountRow(account)
         tables.accounts[account.account_id] = row
     for address in row.account.addresses:
-        tables.services.pop(service_key(address), None)
+        retire_address(tables, service_key(address), row)
     row.account = account
     row.deadlines_renewed_until = -1.0
     for address in account.addresses:
-        tables.services[service_key(address)] = row
+        claim_address(tables, service_key(address), row)
     put_targets(tables, row, account.targets, placeable_from)
 
 
@@ -111,7 +116,6 @@
     row = tables.accounts.pop(account_id, None)
     if row is None:
         return
-    for address in row.account.addresses:
-        tables.services.pop(service_key(address), None)
+    release_addresses(tables, row)
     for target in list(row.targets):
         remove_target(tables, target)
--- a/citronspring/systems/routing.py
+++ b/citronspring/systems/routing.py
@@ -17,7 +17,6 @@
     RelayKind,
     SendToTarget,
 )
-from citronspring.rendezvous import service_key_of
 from citronspring.systems.answers import take_answer
 from citronspring.systems.binding import (
     FIN_FROM_CALLER,
@@ -53,6 +52,7 @@
     near,
     second_does_not_know,
 )
+from citronspring.systems.services import account_of, is_retired, target_of
 from citronspring.tables import FlowState
 
 if TYPE_CHECKING:
@@ -67,11 +67,10 @@
     packet = event.packet
     source = None
     if event.target_id is not None:
-        source = tables.targets.get(event.target_id)
-        account = tables.services.get(service_key_of(packet.flow))
         # A target that answers for another account's service address would hand
         # one customer's bytes to another customer's caller.
-        if source is None or source.account is not account:
+        source = target_of(tables, packet.flow, event.target_id)
+        if source is None:
             actions.append(Drop(DropReason.FOREIGN_SOURCE))
             return
     owner = tables.ring.pair(packet.flow)[0]
@@ -108,7 +107,7 @@
     match event.kind:
         case RelayKind.TO_OWNER:
             assert event.packet is not None
-            source = tables.targets.get(event.source) if event.source else None
+            source = target_of(tables, event.flow, event.source)
             if event.source and source is None:
                 actions.append(Drop(DropReason.FOREIGN_SOURCE))
                 return
@@ -229,8 +228,12 @@
     if not owns(tables, packet.flow):
         hand_over(tables, packet, actions)
         return
+    account = row.target.account
+    if is_retired(tables, packet.flow):
+        refuse_unknown_service(tables, packet, now, actions)
+        return
     likely = None if row.state == FlowState.CLOSING else row.target
-    reopen_flow(tables, likely, row.target.account, packet, now, actions)
+    reopen_flow(tables, likely, account, packet, now, actions)
 
 
 def forward_datagram(
@@ -308,16 +311,15 @@
     tables: Tables, packet: Packet, now: float, actions: list[Action]
 ) -> None:
     """Handle a caller's packet of a flow that is unknown here."""
-    account = tables.services.get(service_key_of(packet.flow))
-    if account is None:
+    account = account_of(tables, packet.flow)
+    opens = packet.flow[0] != TCP or packet.flags & (SYN | ACK) == SYN
+    if account is None or opens and is_retired(tables, packet.flow):
         refuse_unknown_service(tables, packet, now, actions)
     elif packet.unreachable:
         actions.append(Drop(DropReason.UNCERTAIN))
     elif not owns(tables, packet.flow):
         hand_over(tables, packet, actions)
-    elif packet.flow[0] != TCP:
-        open_flow(tables, account, packet, now, actions)
-    elif packet.flags & SYN and not packet.flags & ACK:
+    elif opens:
         tables.walks.pop(packet.flow, None)
         open_flow(tables, account, packet, now, actions)
     elif packet.flags & RST:
--- /dev/null
+++ b/citronspring/systems/services.py
@@ -0,0 +1,68 @@
+"""Service addresses: which client account a flow belongs to.
+
+Hosts learn of a change at different times. What another host says of a flow counts
+only if the flow's service address is, here, of the account whose target it names.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from citronspring.rendezvous import service_key_of
+from citronspring.systems.binding import forget
+
+if TYPE_CHECKING:
+    from citronspring.entities import FlowKey, ServiceKey
+    from citronspring.tables import AccountRow, Tables, TargetRow
+
+
+def account_of(tables: Tables, flow: FlowKey) -> AccountRow | None:
+    """Return the account that a flow, new or old, may belong to."""
+    key = service_key_of(flow)
+    return tables.services.get(key) or tables.retired.get(key)
+
+
+def is_retired(tables: Tables, flow: FlowKey) -> bool:
+    """Whether the flow's address takes no new flows, as no account has it now."""
+    return service_key_of(flow) not in tables.services
+
+
+def target_of(tables: Tables, flow: FlowKey, target_id: str | None) -> TargetRow | None:
+    """Return a target by id, if it is of the account the flow belongs to.
+
+    A host with an older configuration may name a target of the account that had
+    the address before: one customer's bytes would reach another customer.
+    """
+    target = tables.targets.get(target_id or "")
+    if target is None or target.account is not account_of(tables, flow):
+        return None
+    return target
+
+
+def retire_address(tables: Tables, key: ServiceKey, account: AccountRow) -> None:
+    """Take an address from an account; flows that are open live on."""
+    if tables.services.get(key) is account:
+        del tables.services[key]
+        tables.retired[key] = account
+
+
+def claim_address(tables: Tables, key: ServiceKey, account: AccountRow) -> None:
+    """Give an address to an account, and end what another one had open there."""
+    earlier = tables.services.get(key) or tables.retired.pop(key, None)
+    tables.services[key] = account
+    if earlier is None or earlier is account:
+        return
+    rows = tables.flows.rows
+    for flow in [flow for flow in rows if flow.startswith(key)]:
+        forget(tables, flow)
+    for flow in [flow for flow in tables.walks if flow.startswith(key)]:
+        del tables.walks[flow]
+    for flow in [flow for flow in tables.hints if flow.startswith(key)]:
+        del tables.hints[flow]
+
+
+def release_addresses(tables: Tables, account: AccountRow) -> None:
+    """Forget every address of an account that was deleted."""
+    for table in (tables.services, tables.retired):
+        for key in [key for key, row in table.items() if row is account]:
+            del table[key]
--- a/citronspring/tables.py
+++ b/citronspring/tables.py
@@ -417,6 +417,8 @@
     #: The client accounts with something to do; the others cost no time.
     active_accounts: dict[str, AccountRow] = field(default_factory=dict)
     services: dict[ServiceKey, AccountRow] = field(default_factory=dict)
+    #: Addresses that an account gave up and nobody has: open flows live on.
+    retired: dict[ServiceKey, AccountRow] = field(default_factory=dict)
     targets: dict[str, TargetRow] = field(default_factory=dict)
     #: Target ids by the address their tunnel packets come from.
     targets_by_ip: dict[str, str] = field(default_factory=dict)
--- a/tests/test_systems/test_routing.py
+++ b/tests/test_systems/test_routing.py
@@ -8,7 +8,17 @@
 
 from citronspring.balancer import Balancer
 from citronspring.entities import HostState, Protocol, ServiceAddress, Snapshot
-from citronspring.messages import ACK, FIN, RST, SYN, Relay, RelayKind, RelayReceived
+from citronspring.messages import (
+    ACK,
+    FIN,
+    RST,
+    SYN,
+    DropReason,
+    Relay,
+    RelayKind,
+    RelayReceived,
+    SnapshotRead,
+)
 from citronspring.rendezvous import flow_key
 from citronspring.systems import hints
 from citronspring.tables import HostRow
@@ -202,3 +212,94 @@
     assert driver.kinds(behind.receive(driver.syn(unknown), 0.0)) == ["Refuse"]
     behind.tables.hosts["host-1"] = HostRow(make_host(1), HostState.DEAD, revision=2)
     assert driver.kinds(behind.receive(driver.syn(unknown), 0.0)) == ["Drop"]
+
+
+def moved(snapshot, revision=2):
+    """Return the configuration in which the account's address is another's."""
+    first, second = snapshot.accounts
+    addresses = second.addresses
+    return Snapshot(
+        revision,
+        (
+            replace(first, addresses=addresses),
+            replace(second, addresses=first.addresses),
+        ),
+    )
+
+
+@pytest.mark.parametrize(
+    "kind", [RelayKind.TO_OWNER, RelayKind.PROPOSE, RelayKind.BIND, RelayKind.HINT]
+)
+def test_host_with_an_older_configuration_leads_no_packet_astray(snapshot, kind):
+    """A packet for bundelpers never reaches inzendloket, whatever a peer believes.
+
+    A service address moved from one client account to another. A host that has not
+    heard of it relays an answer of, proposes, binds or hints at a target of the
+    account that had the address. This host knows better and takes none of it.
+    """
+    core = driver.make_core(snapshot, hosts=3)
+    owner = kind is not RelayKind.HINT
+    flow = driver.owned_flow(core, owner=owner)
+    sender = "host-1" if owner else core.tables.ring.pair(flow)[0]
+    event = driver.from_caller(flow, data=b"x")
+    if kind is RelayKind.TO_OWNER:
+        event = driver.from_target(flow, "inzendloket-0", data=b"x")
+        actions = core.receive(driver.relayed(event), 0.0)
+    elif kind is RelayKind.PROPOSE:
+        actions = core.receive(
+            driver.relayed(event, kind=kind, target_id="inzendloket-0"), 0.0
+        )
+    else:
+        core.receive(event, 0.0)
+        relay = RelayReceived(kind, sender, flow, target_id="inzendloket-0")
+        actions = core.receive(relay, 0.0)
+    assert "inzendloket-0" not in driver.sent_to(actions)
+    assert "SendToCaller" not in driver.kinds(actions)
+    assert flow not in core.tables.flows.rows
+    assert flow not in core.tables.hints
+
+
+@pytest.mark.parametrize("protocol", [6, 17])
+def test_new_flow_to_a_moved_address_goes_to_its_new_account(snapshot, protocol):
+    """A caller who comes back after an address has moved meets its new owner.
+
+    The tuple is still bound to a target of the account that had the address. That
+    binding must not place a new flow, and a datagram flow has no other beginning
+    than its next packet.
+    """
+    core = driver.make_core(snapshot)
+    flow = driver.flow_to(protocol=protocol)
+    opening = driver.syn(flow) if protocol == 6 else driver.from_caller(flow, 0)
+    [old] = driver.sent_to(core.receive(opening, 0.0))
+    core.receive(SnapshotRead(moved(snapshot)), 1.0)
+    [placed] = driver.sent_to(core.receive(opening, 30.0))
+    assert (old.split("-")[0], placed.split("-")[0]) == ("bundelpers", "inzendloket")
+
+
+def test_stream_outlives_the_removal_of_its_address(snapshot):
+    """An upload that is under way survives the removal of its service address.
+
+    The operator takes the address from the account, which ends new flows only. The
+    owner keeps the stream, a host that must search finds it, and only when another
+    account is given the address does it end.
+    """
+    account = snapshot.accounts[0]
+    removed = Snapshot(2, (replace(account, addresses=()), *snapshot.accounts[1:]))
+    core = driver.make_core(snapshot)
+    flow = driver.flow_to()
+    target_id = driver.open_flow(core, flow)
+    other = driver.make_core(snapshot)
+    for host in (core, other):
+        host.receive(SnapshotRead(removed), 1.0)
+        kinds = driver.kinds(host.receive(driver.syn(driver.flow_to(port=50_000)), 2.0))
+        assert kinds == ["Refuse"]
+    data = driver.from_caller(flow, data=b"x")
+    answer = driver.from_target(flow, target_id, data=b"y")
+    assert driver.sent_to(core.receive(data, 2.0)) == [target_id]
+    assert driver.kinds(core.receive(answer, 2.0)) == ["SendToCaller"]
+    assert driver.sent_to(other.receive(data, 2.0))
+    assert driver.kinds(other.receive(answer, 2.0))[0] == "SendToCaller"
+    core.receive(SnapshotRead(moved(snapshot, 3)), 3.0)
+    assert target_id not in driver.sent_to(core.receive(data, 4.0))
+    [drop] = core.receive(answer, 4.0)
+    assert drop.reason is DropReason.FOREIGN_SOURCE
