--- /dev/null
+++ b/benchmarks/health.py
@@ -0,0 +1,373 @@
+"""What the load signal buys, how soon failing targets are avoided, who is refused."""
+
+from __future__ import annotations
+
+import gc
+import random
+import tracemalloc
+from dataclasses import dataclass, replace
+
+from benchmarks.fleet import Fleet
+from benchmarks.pool import run_jobs
+from benchmarks.result import Result
+from benchmarks.world import SERVICE_IP, make_host, make_snapshot, make_target
+from citronspring.balancer import Balancer
+from citronspring.entities import (
+    Account,
+    AccountLimits,
+    Endpoint,
+    Protocol,
+    ServiceAddress,
+    Snapshot,
+    Target,
+)
+from citronspring.messages import SnapshotRead
+from citronspring.rendezvous import flow_key
+from citronspring.systems.placement import rank_targets
+
+COMMAND = "python -m benchmarks --only health"
+
+SEED = 1
+
+#: Flows a target in steady load, and the mean seconds that one lasts.
+FLOWS_PER_TARGET = 100
+LIFETIME = 60.0
+
+#: Virtual seconds: filling up, settling, and then one sample a second.
+FILLING, SETTLING, SAMPLES = 2.0, 40.0, 20
+
+#: Hosts and targets, and the seeds that are averaged.
+SIZES = ((6, 7, 4), (9, 30, 2), (30, 200, 1))
+
+#: Imbalance at today's size.
+IMBALANCE_BOUND = 1.05
+#: Control bytes a second of a host for loads.
+LOAD_BYTES_BOUND = 1024
+#: Bytes of core rows of an idle account with one address and three targets.
+IDLE_BYTES_BOUND = 1024
+IDLE_ACCOUNTS = 10_000
+
+#: New flows a second when a target fails, and how long that is watched.
+FAILURE_RATE = 200.0
+FAILURE_TIME = 20.0
+#: Seconds after which a failing target gets no more than single trials.
+AVOIDED_BOUND = 2.0
+
+#: Least share of new flows of a target whose endpoint alone speaks against it.
+LIAR_BOUND = 0.4
+
+#: New flows a second of the account that is not flooding.
+CALM_RATE = 20.0
+FLOOD_TIME = 20.0
+
+SECOND_IP = "192.0.2.2"
+
+
+@dataclass(frozen=True, slots=True)
+class BalanceJob:
+    """One run of steady load."""
+
+    hosts: int
+    targets: int
+    seed: int
+    telling: bool
+
+
+def run() -> list[Result]:
+    """Measure everything."""
+    rows = balance_rows()
+    rows += failure_rows()
+    rows += overload_rows()
+    rows.append(flood_row())
+    rows += idle_rows()
+    return rows
+
+
+# Balance -----------------------------------------------------------------------
+
+
+def balance_rows() -> list[Result]:
+    """Return imbalance with and without the load signal, and what it costs."""
+    jobs = [
+        BalanceJob(hosts, targets, seed, telling)
+        for hosts, targets, seeds in reversed(SIZES)
+        for telling in (False, True)
+        for seed in range(1, seeds + 1)
+    ]
+    answers = dict(zip(jobs, run_jobs(measure_balance, jobs), strict=True))
+    rows = []
+    for hosts, targets, _ in SIZES:
+        size = f"{hosts} hosts x {targets} targets"
+        plain = mean_of(answers, hosts, targets, telling=False)
+        told = mean_of(answers, hosts, targets, telling=True)
+        bound = IMBALANCE_BOUND if targets == SIZES[0][1] else None
+        hashed = hash_imbalance(targets)
+        rows += [
+            figure(f"imbalance, {size}, own counts", plain[0], "max/mean", hashed),
+            figure(
+                f"imbalance, {size}, load signal", told[0], "max/mean", plain[0], bound
+            ),
+            figure(
+                f"load signal, {size}", told[1], "B/s a host", 0.0, LOAD_BYTES_BOUND
+            ),
+        ]
+    return rows
+
+
+def mean_of(
+    answers: dict[BalanceJob, tuple[float, float]],
+    hosts: int,
+    targets: int,
+    *,
+    telling: bool,
+) -> tuple[float, float]:
+    """Return the means of imbalance and bytes over the seeds of a size."""
+    found = [
+        answer
+        for job, answer in answers.items()
+        if (job.hosts, job.targets, job.telling) == (hosts, targets, telling)
+    ]
+    sums = [sum(column) / len(found) for column in zip(*found, strict=True)]
+    return sums[0], sums[1]
+
+
+def measure_balance(job: BalanceJob) -> tuple[float, float]:
+    """Return mean imbalance, and control bytes a second of a host."""
+    targets = tuple(make_target(index) for index in range(job.targets))
+    snapshot = make_snapshot(1, targets)
+    fleet = Fleet.from_snapshot(job.hosts, snapshot, str(job.seed), telling=job.telling)
+    fleet.lifetime = LIFETIME
+    flows = job.targets * FLOWS_PER_TARGET
+    fleet.run(FILLING, {SERVICE_IP: flows / FILLING})
+    rate = {SERVICE_IP: flows / LIFETIME}
+    fleet.run(SETTLING, rate)
+    fleet.control_bytes = 0
+    samples = []
+    for _ in range(SAMPLES):
+        fleet.run(1.0, rate)
+        samples.append(fleet.imbalance(job.targets))
+    return sum(samples) / SAMPLES, fleet.control_bytes / SAMPLES / job.hosts
+
+
+def hash_imbalance(targets: int) -> float:
+    """Return the imbalance of as many live flows placed by hash alone."""
+    core = Balancer.from_config(make_host(0))
+    rows = tuple(make_target(index) for index in range(targets))
+    core.receive(SnapshotRead(make_snapshot(1, rows)), 0.0)
+    counts = dict.fromkeys(core.tables.targets, 0)
+    rng = random.Random(SEED)
+    # Hashing depends on the set of live flows alone, so that any set will do.
+    for number in range(targets * FLOWS_PER_TARGET):
+        flow = flow_key(6, SERVICE_IP, 443, f"10.0.{rng.randrange(256)}.1", number)
+        first = rank_targets(flow, list(core.tables.targets.values()))[0]
+        counts[first.target.target_id] += 1
+    return max(counts.values()) / FLOWS_PER_TARGET
+
+
+# Failures ----------------------------------------------------------------------
+
+
+def failure_rows() -> list[Result]:
+    """Return how soon new flows avoid a failing target, and what is lost."""
+    rows = []
+    for kind in ("sheds", "freezes"):
+        fleet, avoided, offered, lost = measure_failure(kind)
+        share = 1.0 / 7
+        rows += [
+            figure(
+                f"target {kind}, its endpoint says healthy: last of its first SYNs",
+                avoided,
+                "s",
+                None,
+                AVOIDED_BOUND,
+            ),
+            figure(
+                f"target {kind}: SYNs to it in {FAILURE_TIME:.0f} s",
+                offered,
+                "SYNs",
+                FAILURE_TIME * FAILURE_RATE * share,
+            ),
+            figure(f"target {kind}: openings refused", lost, "flows", None, 0),
+        ]
+    rows.append(lying_row())
+    return rows
+
+
+def measure_failure(kind: str) -> tuple[Fleet, float, int, int]:
+    """Let one of seven targets fail under load, with a lying endpoint."""
+    fleet = Fleet.from_snapshot(6, probed_snapshot(), f"failure {SEED}")
+    fleet.lifetime = 10.0
+    rate = {SERVICE_IP: FAILURE_RATE}
+    fleet.run(40.0, rate)
+    failing = fleet.shedding if kind == "sheds" else fleet.frozen
+    failing.add("target-0")
+    fleet.lying.add("target-0")
+    began, before = fleet.now, fleet.offered["target-0"]
+    refused = fleet.refused[SERVICE_IP]
+    last, seen = 0.0, before
+    while fleet.now < began + FAILURE_TIME:
+        fleet.run(0.25, rate)
+        # More than one SYN an owner in a quarter second is not a single trial.
+        if fleet.offered["target-0"] - seen > len(fleet.cores):
+            last = fleet.now - began
+        seen = fleet.offered["target-0"]
+    lost = fleet.refused[SERVICE_IP] - refused
+    return fleet, last, fleet.offered["target-0"] - before, lost
+
+
+def lying_row() -> Result:
+    """Return the share a sound target keeps when both probers call it unhealthy."""
+    fleet = Fleet.from_snapshot(6, probed_snapshot(), f"lying {SEED}")
+    fleet.lifetime = 10.0
+    fleet.run(40.0, {SERVICE_IP: FAILURE_RATE})
+    fleet.lying.add("target-0")
+    # Its share is lower at first, until its older flows have ended.
+    fleet.run(3 * fleet.lifetime, {SERVICE_IP: FAILURE_RATE})
+    before = fleet.offered["target-0"]
+    fleet.run(FAILURE_TIME, {SERVICE_IP: FAILURE_RATE})
+    mean = FAILURE_RATE * FAILURE_TIME / 7
+    share = (fleet.offered["target-0"] - before) / mean
+    name = "sound target, its endpoint says unhealthy: its share of new flows"
+    return Result.at_least(
+        name, share, "of a fair share", LIAR_BOUND, seed=SEED, command=COMMAND
+    )
+
+
+def probed_snapshot() -> Snapshot:
+    """Return seven targets with health endpoints."""
+    targets = [make_target(index) for index in range(7)]
+    probed = tuple(
+        replace(target, health=Endpoint(target.tunnel.ip, 8080)) for target in targets
+    )
+    return make_snapshot(1, probed)
+
+
+# Refusals ----------------------------------------------------------------------
+
+
+def overload_rows() -> list[Result]:
+    """Return the refused share when more is offered than targets may hold."""
+    rows = []
+    for factor in (0.9, 1.0, 1.5, 2.0):
+        targets = tuple(
+            replace(make_target(index), max_connections=100) for index in range(7)
+        )
+        fleet = Fleet.from_snapshot(6, make_snapshot(1, targets), f"overload {SEED}")
+        fleet.lifetime = 10.0
+        rate = {SERVICE_IP: 70.0 * factor}
+        fleet.run(40.0, rate)
+        asked, refused = fleet.asked[SERVICE_IP], fleet.refused[SERVICE_IP]
+        most = 0
+        for _ in range(30):
+            fleet.run(1.0, rate)
+            most = max(most, *fleet.live.values())
+        share = (fleet.refused[SERVICE_IP] - refused) / (
+            fleet.asked[SERVICE_IP] - asked
+        )
+        least = erlang_loss(70.0 * factor * fleet.lifetime, 700)
+        rows.append(figure(f"refused at load {factor}", share, "of openings", least))
+        rows.append(
+            figure(f"most flows on a target at load {factor}", most, "flows", None, 100)
+        )
+    return rows
+
+
+def erlang_loss(load: float, servers: int) -> float:
+    """Return the refused share if one place knew every target's free room."""
+    loss = 1.0
+    for count in range(1, servers + 1):
+        loss = load * loss / (count + load * loss)
+    return loss
+
+
+def flood_row() -> Result:
+    """Return what a calm account gets admitted while another floods."""
+    limits = AccountLimits(new_per_second=100.0)
+    accounts = [
+        replace(make_snapshot(1, targets).accounts[0], limits=limits)
+        for targets in [tuple(make_target(index) for index in range(7))]
+    ]
+    calm_targets = tuple(
+        replace(make_target(index), account_id="calm") for index in range(7, 10)
+    )
+    address = ServiceAddress(SECOND_IP, 443, Protocol.TCP)
+    accounts.append(Account("calm", (address,), calm_targets, limits=limits))
+    fleet = Fleet.from_snapshot(6, Snapshot(1, tuple(accounts)), f"flood {SEED}")
+    rates = {SERVICE_IP: 10 * limits.new_per_second, SECOND_IP: CALM_RATE}
+    fleet.run(FLOOD_TIME, rates)
+    share = fleet.admitted[SECOND_IP] / fleet.asked[SECOND_IP]
+    flooding = fleet.admitted[SERVICE_IP] / fleet.asked[SERVICE_IP]
+    return Result.at_least(
+        "calm account's openings admitted while another floods tenfold",
+        share,
+        "of openings",
+        1.0,
+        baseline=flooding,
+        seed=SEED,
+        command=COMMAND,
+    )
+
+
+# Idle accounts -----------------------------------------------------------------
+
+
+def idle_rows() -> list[Result]:
+    """Return what idle accounts cost in memory, messages and rows visited."""
+    accounts = tuple(idle_account(index) for index in range(IDLE_ACCOUNTS))
+    core = Balancer.from_config(make_host(0), [make_host(1)])
+    gc.collect()
+    tracemalloc.start()
+    core.receive(SnapshotRead(Snapshot(1, accounts)), 0.0)
+    gc.collect()
+    taken = tracemalloc.get_traced_memory()[0] / IDLE_ACCOUNTS
+    tracemalloc.stop()
+    fleet = Fleet(random.Random(SEED), {core.tables.host_id: core})
+    for _ in range(200):
+        fleet.now += 0.5
+        fleet.tick()
+    visited = len(core.tables.active_accounts)
+    return [
+        figure(
+            "memory of an idle account's rows, 1 address, 3 targets",
+            taken,
+            "B",
+            None,
+            IDLE_BYTES_BOUND,
+        ),
+        figure(
+            f"control bytes for {IDLE_ACCOUNTS} idle accounts",
+            fleet.control_bytes / fleet.now,
+            "B/s",
+            None,
+            0,
+        ),
+        figure(f"rows a tick visits of {IDLE_ACCOUNTS}", visited, "rows", None, 0),
+    ]
+
+
+def idle_account(index: int) -> Account:
+    """Return an account that nobody uses."""
+    account_id = f"account-{index}"
+    address = ServiceAddress(f"10.9.{index >> 8}.{index & 255}", 443, Protocol.TCP)
+    targets = tuple(
+        Target(
+            f"{account_id}-{number}",
+            account_id,
+            Endpoint(f"10.{10 + number}.{index >> 8}.{index & 255}", 6080),
+            "drukkerij",
+        )
+        for number in range(3)
+    )
+    return Account(account_id, (address,), targets)
+
+
+def figure(
+    name: str,
+    value: float,
+    unit: str,
+    baseline: float | None = None,
+    bound: float | None = None,
+) -> Result:
+    """Return a figure, with a greatest value if it has a bound."""
+    held = bound is None or value <= bound
+    return Result(name, value, unit, baseline, bound, held, SEED, COMMAND)
--- a/citronspring/balancer.py
+++ b/citronspring/balancer.py
@@ -196,8 +196,8 @@
                             "flows": target.flows,
                             "remote_flows": target.remote_flows,
                             "leaving": target.target.leaving,
-                            "ejected_until": target.ejected_until,
-                            "on_probation": target.on_probation,
+                            "ejected_until": target.health.ejected_until,
+                            "on_probation": target.health.on_probation,
                             "warm_at": target.warm_at,
                         }
                         for target in row.targets
--- a/citronspring/systems/idle.py
+++ b/citronspring/systems/idle.py
@@ -10,6 +10,8 @@
 
 from typing import TYPE_CHECKING
 
+from citronspring.systems.health import forget_health
+
 if TYPE_CHECKING:
     from citronspring.tables import AccountRow, Tables
 
@@ -54,6 +56,7 @@
 def sleep(tables: Tables, account: AccountRow) -> None:
     """Drop what only an active account needs; stored deadlines stay true."""
     del tables.active_accounts[account.account.account_id]
-    account.uses = None
+    if account.lending is not None:
+        account.lending.uses.clear()
     for row in account.targets:
-        row.notes = None
+        forget_health(row)
--- a/citronspring/systems/limits.py
+++ b/citronspring/systems/limits.py
@@ -10,10 +10,10 @@
 
 from typing import TYPE_CHECKING
 
+from citronspring.load_rows import Lending, PeerUse
 from citronspring.messages import RefusalReason
 from citronspring.rendezvous import seed_of
 from citronspring.systems.idle import wake
-from citronspring.tables import PeerUse
 
 if TYPE_CHECKING:
     from citronspring.tables import AccountRow, Tables, TargetRow
@@ -87,20 +87,21 @@
     its own part.
     """
     me = tables.ring.positions.get(tables.host_id)
-    if account.promised_until == 0.0 or me is None:
+    lending = account.lending
+    if lending is None or lending.promised_until == 0.0 or me is None:
         return 0
     members = len(tables.ring.positions)
     part = connection_part(tables, account, tables.host_id)
-    spare = max(0, part - account.promised)
-    if account.promised_until > now or members == 1:
+    spare = max(0, part - lending.promised)
+    if lending.promised_until > now or members == 1:
         return spare
     owed = 0
     for peer, index in tables.ring.positions.items():
         if peer == tables.host_id:
             continue
         borrowable = part_of(spare, members - 1, (index - me) % members - 1)
-        use = (account.uses or {}).get(peer)
-        if use is not None and use.heard_at > account.promised_until + TOLD_WITHIN:
+        use = lending.uses.get(peer)
+        if use is not None and use.heard_at > lending.promised_until + TOLD_WITHIN:
             excess = use.open_flows - connection_part(tables, account, peer)
             borrowable = min(borrowable, max(0, excess))
         owed += borrowable
@@ -115,10 +116,10 @@
     """
     positions = tables.ring.positions
     me = positions.get(tables.host_id)
-    if not account.uses or me is None:
+    if account.lending is None or me is None:
         return 0
     total = 0
-    for peer, use in account.uses.items():
+    for peer, use in account.lending.uses.items():
         index = positions.get(peer)
         if index is None or use.heard_at + PROMISE_LIFETIME <= now:
             continue
@@ -128,6 +129,13 @@
     return total
 
 
+def lending_of(account: AccountRow) -> Lending:
+    """Return the account's lending state; most accounts never need one."""
+    if account.lending is None:
+        account.lending = Lending()
+    return account.lending
+
+
 def promise(tables: Tables, account: AccountRow, now: float) -> int:
     """Return the flows of the account this host will stay within.
 
@@ -140,13 +148,14 @@
     if 2 * use > part:
         return max(part, use)
     told = use + (part - use + 1) // 2
-    if account.promised < told and lent(tables, account, now):
+    lending = lending_of(account)
+    if lending.promised < told and lent(tables, account, now):
         # Not settled: a wider promise would forget what was lent by this one.
-        if use > PROMISE_FILLED * account.promised:
+        if use > PROMISE_FILLED * lending.promised:
             return part
-        told = account.promised
-    account.promised = told
-    account.promised_until = now + PROMISE_KEPT
+        told = lending.promised
+    lending.promised = told
+    lending.promised_until = now + PROMISE_KEPT
     return told
 
 
@@ -154,16 +163,15 @@
     tables: Tables, account: AccountRow, peer: str, open_flows: int, now: float
 ) -> None:
     """Keep what a peer promised, or note that it is pressed."""
-    if account.uses is None:
-        account.uses = {}
-    account.uses[peer] = PeerUse(open_flows, now)
+    lending = lending_of(account)
+    lending.uses[peer] = PeerUse(open_flows, now)
     if open_flows >= connection_part(tables, account, peer):
-        account.pressed_until = now + PRESSED_LIFETIME
+        lending.pressed_until = now + PRESSED_LIFETIME
 
 
 def is_pressed(tables: Tables, account: AccountRow, now: float) -> bool:
     """Whether peers should tell each other of their use of the account."""
-    if account.pressed_until > now:
+    if account.lending is not None and account.lending.pressed_until > now:
         return True
     return 2 * account.open_flows > connection_part(tables, account, tables.host_id)
 
--- a/citronspring/systems/loads.py
+++ b/citronspring/systems/loads.py
@@ -11,11 +11,11 @@
 from typing import TYPE_CHECKING
 
 from citronspring.control.messages import AccountUse, Loads, TargetLoad
+from citronspring.load_rows import RemoteCount, ToldLoad
 from citronspring.messages import SendControl
 from citronspring.systems.health import PROBE_INTERVAL, take_note
 from citronspring.systems.idle import keep_awake
 from citronspring.systems.limits import is_pressed, promise, take_promise
-from citronspring.tables import RemoteCount, ToldLoad
 
 if TYPE_CHECKING:
     from citronspring.messages import Action
@@ -158,7 +158,7 @@
 def entry_of(tables: Tables, row: TargetRow, now: float) -> TargetLoad:
     """Return what this host knows of a target at first hand."""
     target_id = row.target.target_id
-    note = None if row.notes is None else row.notes.get(tables.host_id)
+    note = (row.health.notes or {}).get(tables.host_id)
     if note is None or note.deadline <= now:
         return TargetLoad(target_id, row.flows)
     load = None
--- a/citronspring/tables.py
+++ b/citronspring/tables.py
@@ -5,8 +5,9 @@
 from collections import Counter
 from dataclasses import dataclass, field
 from enum import IntEnum
-from typing import TYPE_CHECKING, Protocol, TypeVar
+from typing import TYPE_CHECKING
 
+from citronspring.accounted import AccountedRows
 from citronspring.control.tables import (
     FenceRow,
     HashedSource,
@@ -14,6 +15,7 @@
     SpreadTable,
 )
 from citronspring.entities import Account, FlowKey, Host, HostState, ServiceKey, Target
+from citronspring.load_rows import SOUND, HealthState, Lending, LoadTable, PacedLimit
 from citronspring.rendezvous import OwnerRing, seed_of
 
 if TYPE_CHECKING:
@@ -34,11 +36,6 @@
 LOOK_INTERVAL = 64.0
 
 
-#: A client account may hold this many times the rows that are still free, so that
-#: one account's flood takes two thirds of a table and the next finds room.
-ROOM_FACTOR = 2
-
-
 class FlowState(IntEnum):
     """How far a flow has come; plain integers in the rows."""
 
@@ -57,52 +54,6 @@
     DOUBTED = 7
 
 
-@dataclass(slots=True)
-class PacedLimit:
-    """A rate limit that stores the time at which it is next exhausted (GCRA)."""
-
-    #: Theoretical arrival time: when the events so far would be paid off.
-    paid_at: float = 0.0
-
-    def admit(self, now: float, per_second: float, burst: float) -> bool:
-        """Count one event if it is within rate and burst; return whether it is."""
-        if now < self.retry_at(per_second, burst):
-            return False
-        self.paid_at = max(self.paid_at, now) + 1.0 / per_second
-        return True
-
-    def retry_at(self, per_second: float, burst: float) -> float:
-        """Return the time from which one more event is admitted.
-
-        `admit` compares with this very number: worked out in two ways, rounding
-        would refuse a caller who comes back just when told to.
-        """
-        return self.paid_at - burst / per_second
-
-
-@dataclass(slots=True, frozen=True)
-class PeerUse:
-    """Flows of a client account that a peer promised to stay within, or holds."""
-
-    open_flows: int
-    heard_at: float
-
-
-@dataclass(slots=True)
-class ProbeNote:
-    """What one prober last said of a target."""
-
-    healthy: bool
-    #: Busy share, 0.0 to 1.0 and above when queueing; None if not told.
-    load: float | None
-    #: When it began to say so.
-    since: float
-    #: The note counts for nothing from this time.
-    deadline: float
-    #: Results in a row that contradict ``healthy``, at the prober itself.
-    contrary: int = 0
-
-
 @dataclass(slots=True, eq=False)
 class AccountRow:
     """A client account with its counts on this host."""
@@ -112,14 +63,8 @@
     targets: list[TargetRow] = field(default_factory=list)
     #: Flows this host owns and that are not closed.
     open_flows: int = 0
-    #: Promises of peers by host id; None while no peer made one.
-    uses: dict[str, PeerUse] | None = None
-    #: What this host last promised to stay within.
-    promised: int = 0
-    #: When that promise runs out; 0.0 if there never was one.
-    promised_until: float = 0.0
-    #: Until this time peers need what this host leaves unused.
-    pressed_until: float = 0.0
+    #: None while no owner is pressed.
+    lending: Lending | None = None
     openings: PacedLimit = field(default_factory=PacedLimit)
     #: Retries of openings that may still be made.
     retry_balance: float = 10.0
@@ -156,24 +101,16 @@
     placeable_from: float = 0.0
     #: Until this time the target is being warmed up and takes a growing share.
     warm_at: float = 0.0
-    #: Until this time no new flow is placed on it.
-    ejected_until: float = 0.0
-    #: Ejections in a row; the next one lasts longer.
-    ejections: int = 0
-    #: Openings in a row that it refused or did not answer.
-    failures: int = 0
-    #: Ejected once and not seen to answer since: one trial flow at a time.
-    on_probation: bool = False
-    #: No further trial flow before this time.
-    trial_until: float = 0.0
-    #: From this time its earlier ejections no longer lengthen the next one.
-    forgiven_at: float = 0.0
-    #: When it last answered an opening.
-    answered_at: float = -1.0
     #: When this host asks its health endpoint next, if it is one of the probers.
     probe_at: float = 0.0
-    #: What probers said, by host id; None while nobody did.
-    notes: dict[str, ProbeNote] | None = None
+    #: What is held against it; shared by all rows of which nothing is known.
+    health: HealthState = field(default_factory=lambda: SOUND)
+
+    def own_health(self) -> HealthState:
+        """Return the health state of this row alone, to be changed."""
+        if self.health is SOUND:
+            self.health = HealthState()
+        return self.health
 
     @classmethod
     def from_target(cls, target: Target, account: AccountRow) -> TargetRow:
@@ -270,62 +207,6 @@
     forget_at: float = 0.0
 
 
-class AccountHeld(Protocol):
-    """A row that belongs to a client account."""
-
-    @property
-    def account(self) -> AccountRow:
-        """The client account."""
-
-
-RowT = TypeVar("RowT", bound=AccountHeld)
-
-
-class AccountedRows(dict[FlowKey, RowT]):
-    """Rows by flow that know how many of them each client account holds."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        #: Rows by client account; accounts without rows are not in it.
-        self.held: dict[AccountRow, int] = {}
-
-    def has_room(self, account: AccountRow, maximum: int) -> bool:
-        """Whether the account may hold one more row of at most ``maximum``.
-
-        A bound for all accounts together would let the first flood lock the
-        others out; a fixed part for each would leave idle accounts' parts unused.
-        """
-        free = maximum - len(self)
-        return self.held.get(account, 0) < ROOM_FACTOR * free
-
-    def note(self, account: AccountRow, step: int) -> None:
-        """Add to an account's number of rows."""
-        number = self.held.get(account, 0) + step
-        if number:
-            self.held[account] = number
-        else:
-            self.held.pop(account, None)
-
-    def __setitem__(self, flow: FlowKey, row: RowT) -> None:
-        earlier = self.get(flow)
-        if earlier is not None:
-            self.note(earlier.account, -1)
-        super().__setitem__(flow, row)
-        self.note(row.account, 1)
-
-    def __delitem__(self, flow: FlowKey) -> None:
-        row = self[flow]
-        super().__delitem__(flow)
-        self.note(row.account, -1)
-
-    def pop(self, flow: FlowKey, default: None = None) -> RowT | None:  # type: ignore[override]
-        """Remove and return a row, or return None."""
-        row = super().pop(flow, default)
-        if row is not None:
-            self.note(row.account, -1)
-        return row
-
-
 @dataclass(slots=True)
 class FlowTable:
     """Flows by key, with a wheel of keys by the time they may expire."""
@@ -356,44 +237,6 @@
             bucket.append(flow)
 
 
-@dataclass(slots=True, frozen=True)
-class RemoteCount:
-    """Flows of a peer on a target, as it told them."""
-
-    row: TargetRow
-    flows: int
-    #: Not repeated until then, they count no longer.
-    deadline: float
-
-
-@dataclass(slots=True, frozen=True)
-class ToldLoad:
-    """What a peer was last told of a target."""
-
-    flows: int
-    told_at: float
-
-
-@dataclass(slots=True)
-class LoadTable:
-    """What peers told of their loads, and what they were told."""
-
-    #: Counts by peer and target id.
-    counts: dict[str, dict[str, RemoteCount]] = field(default_factory=dict)
-    #: By peer, until when it counts as known.
-    heard_until: dict[str, float] = field(default_factory=dict)
-    #: Entries by peer and target id.
-    told: dict[str, dict[str, ToldLoad]] = field(default_factory=dict)
-    #: When the next peer is told.
-    tell_at: float = 0.0
-    #: Messages so far; says whose turn it is.
-    turn: int = 0
-    #: How much what peers told counts in placement, 0.0 to 1.0.
-    weight: float = 0.0
-    #: Version of the ring that the peers were last compared with.
-    ring_version: int = 0
-
-
 @dataclass(slots=True)
 class Tables:
     """All state of one decision core."""
--- a/tests/test_systems/test_limits.py
+++ b/tests/test_systems/test_limits.py
@@ -10,10 +10,10 @@
 from hypothesis import strategies as st
 
 from citronspring.entities import AccountLimits, Snapshot
+from citronspring.load_rows import PacedLimit
 from citronspring.messages import RefusalReason, Refuse, SendToTarget
 from citronspring.systems import limits
 from citronspring.systems.second_chance import MAX_WALKS
-from citronspring.tables import PacedLimit
 from tests.conftest import make_account
 from tests.test_systems import driver
 
