--- a/citronspring/settings.py
+++ b/citronspring/settings.py
@@ -15,6 +15,7 @@
     ConfigDict,
     Field,
     PlainSerializer,
+    SecretStr,
     ValidationError,
     model_validator,
 )
@@ -24,8 +25,8 @@
 from citronspring.errors import SettingsError
 from citronspring.settings_errors import finding, settings_error, shown
 
-#: Where the administration API listens unless the settings say otherwise.
-DEFAULT_ADMIN = Endpoint("127.0.0.1", 8440)
+#: Port of the administration API unless the settings say otherwise.
+DEFAULT_ADMIN_PORT = 8440
 
 #: Sockets of a host that must differ from every other host's.
 SOCKETS = ("tunnel", "relay", "control")
@@ -134,6 +135,40 @@
     leave_seconds: Seconds = 30.0
 
 
+class ControlSection(Section):
+    """The key by which hosts know each other's control datagrams."""
+
+    #: Hexadecimal, at least 16 bytes; better kept in a file.
+    key: SecretStr | None = None
+    #: File that holds the key.
+    key_file: str | None = None
+    #: Accepted as well while keys are being replaced.
+    previous_key: SecretStr | None = None
+    previous_key_file: str | None = None
+
+    @model_validator(mode="after")
+    def check_keys(self) -> Self:
+        """Require one place for each key, and a key before a previous one."""
+        if self.key is not None and self.key_file is not None:
+            raise finding("key_file", "(hidden)", "give either key or key_file")
+        if self.previous_key is not None and self.previous_key_file is not None:
+            remedy = "give either previous_key or previous_key_file"
+            raise finding("previous_key", "(hidden)", remedy)
+        if self.has_previous and not self.has_key:
+            raise finding("key", "", "give the key in use beside the previous one")
+        return self
+
+    @property
+    def has_key(self) -> bool:
+        """Whether a key is given."""
+        return self.key is not None or self.key_file is not None
+
+    @property
+    def has_previous(self) -> bool:
+        """Whether a previous key is given."""
+        return self.previous_key is not None or self.previous_key_file is not None
+
+
 class TokenSection(Section):
     """A bearer token of the administration API; the value is kept elsewhere."""
 
@@ -156,7 +191,8 @@
 class AdminSection(Section):
     """The administration API."""
 
-    listen: EndpointText = DEFAULT_ADMIN
+    #: Unless given, port 8440 of the address of the host's control socket.
+    listen: EndpointText | None = None
     #: PEM files; with neither, the API is served in clear text.
     certificate_file: str | None = None
     key_file: str | None = None
@@ -196,6 +232,7 @@
     platform: PlatformSection
     peers: tuple[HostSection, ...] = ()
     limits: LimitsSection = LimitsSection()
+    control: ControlSection = ControlSection()
     admin: AdminSection = AdminSection()
     logs: LogsSection = LogsSection()
 
@@ -219,6 +256,11 @@
             message = f"{shown(path)}: {shown(error)}"
             raise SettingsError(message, "write it as TOML 1.0 in UTF-8") from None
 
+    @property
+    def admin_endpoint(self) -> Endpoint:
+        """Where the administration API is to listen."""
+        return self.admin.listen or Endpoint(self.host.control.ip, DEFAULT_ADMIN_PORT)
+
     def sections(self) -> list[tuple[str, HostSection]]:
         """Return this host and its peers with their keys."""
         peers = [(f"peers.{index}", peer) for index, peer in enumerate(self.peers)]
@@ -235,6 +277,19 @@
             seen[section.id] = key
         return self
 
+    @model_validator(mode="after")
+    def check_zones(self) -> Self:
+        """Refuse a host in a zone that is not listed.
+
+        Nobody would wait for such a zone before an address moves to another
+        account, and its hosts would send packets to the wrong one.
+        """
+        for key, section in self.sections():
+            if section.zone not in self.platform.zones:
+                remedy = "list it in platform.zones, or correct its spelling"
+                raise finding(f"{key}.zone", section.zone, remedy)
+        return self
+
     @model_validator(mode="after")
     def check_sockets(self) -> Self:
         """Refuse one address for two sockets: a packet would be misread."""
@@ -248,6 +303,16 @@
                 seen[endpoint] = f"{key}.{name}"
         return self
 
+    @model_validator(mode="after")
+    def check_control(self) -> Self:
+        """Refuse control sockets that others reach when there is no key."""
+        for key, section in self.sections():
+            ip = section.control.ip
+            if not self.control.has_key and not ip_address(ip).is_loopback:
+                remedy = f"{key}.control is not on loopback: give all hosts one key"
+                raise finding("control.key_file", "", remedy)
+        return self
+
     @model_validator(mode="after")
     def check_fabric(self) -> Self:
         """Refuse a fabric address that is a host's.
--- a/citronspring/systems/control.py
+++ b/citronspring/systems/control.py
@@ -46,8 +46,10 @@
     """Handle one authenticated message from another host."""
     message, sender = event.message, event.sender
     match message:
-        case Ping() | Ack() | PingRequest() | Gossip():
+        case Ping() | Ack() | PingRequest() | Gossip() | MembersRequest():
             take_updates(tables, message.updates, now)
+    if isinstance(message, Ping):
+        take_updates(tables, message.members, now, news=False)
     if sender not in tables.hosts or sender == tables.host_id:
         # There is no address to answer to; a host in doubt introduces itself.
         tables.counters["control.unknown-sender"] += 1
@@ -57,7 +59,7 @@
         case Ping() | Ack() | PingRequest() | Gossip():
             hear_of_revision(tables, sender, message.revision, now, actions)
     dispatch(tables, sender, message, now, actions)
-    check_reached(tables)
+    check_reached(tables, actions)
 
 
 def dispatch(
--- a/citronspring/systems/openings.py
+++ b/citronspring/systems/openings.py
@@ -163,7 +163,13 @@
     now: float,
     actions: list[Action],
 ) -> None:
-    """Refuse an opening that no target took; nothing of its data was sent on."""
+    """Refuse an opening that no target took; nothing of its data was sent on.
+
+    Every target that did not answer gets a reset first: a SYN that was only late
+    would otherwise open there after the caller was told that it did not.
+    """
+    for row in opening.silent:
+        actions.append(ResetTarget(row.target.target_id, opening.packet))
     retry_at = refused_until(opening.account, reason, now)
     forget(tables, flow)
     actions.append(refuse(tables, opening.packet, reason, retry_at))
@@ -235,15 +241,15 @@
 ) -> None:
     """Leave a target that did not answer a SYN.
 
-    The target gets a reset first: a SYN that was only late would otherwise open
-    there after the caller was refused, or beside the flow at another target.
+    It gets no reset yet. Its answer may have reached the caller through a host
+    with another view, and a reset would end a connection that the caller holds
+    open; the caller's next packet tells which target it took.
     """
     current = opening.tried[-1]
     note_failure(tables, current, now)
-    actions.append(ResetTarget(current.target.target_id, opening.packet))
+    opening.silent.append(current)
+    reason = RefusalReason.OPENING_TIMEOUT
     if opening.deadline <= now:
-        reason = RefusalReason.OPENING_TIMEOUT
         give_up(tables, flow, opening, reason, now, actions)
         return
-    reason = RefusalReason.OPENING_TIMEOUT
     retry_opening(tables, flow, opening, reason, now, actions)
