--- a/tests/test_systems/test_placement.py
+++ b/tests/test_systems/test_placement.py
@@ -6,6 +6,7 @@
 
 from citronspring.entities import Snapshot
 from citronspring.messages import RefusalReason, SnapshotRead
+from citronspring.systems.loads import FRESH_WEIGHT
 from citronspring.systems.placement import (
     ALL_CANDIDATES,
     CANDIDATES,
@@ -37,6 +38,8 @@
     assert choose(core, driver.flow_to()) is lightest
     core.tables.loads.weight = 1.0
     lightest.remote_flows = 5
+    assert choose(core, driver.flow_to()) is lightest
+    core.tables.loads.weight = FRESH_WEIGHT
     assert choose(core, driver.flow_to()) is not lightest
 
 
