--- a/citronspring/cli/client.py
+++ b/citronspring/cli/client.py
@@ -192,16 +192,7 @@
             return Error(Lost(f"{host}: {error.message}", wait))
         case "platform-unavailable" | "rate-limited":
             return Error(NotTaken(f"{host}: {error.message}", error, wait))
-    return Error(Refused(with_details(error, content)))
-
-
-def with_details(error: RemoteError, content: Body) -> RemoteError:
-    """Add to a conflict what the other change did."""
-    lines = content.get("difference")
-    if not isinstance(lines, list) or not lines:
-        return error
-    text = shown(", ".join(str(line) for line in lines))
-    return RemoteError(error.kind, f"{error.message} ({text})", error.remedy)
+    return Error(Refused(error))
 
 
 def one_line(text: object, instead: str) -> str:
