Keep membership stable through a restart storm of a third of 300 hosts

A suspect now gets longer to refute while much news waits, answers carry less of it, suspects are asked half as often, and a starting host asks for several parts of a copy at once.

--- a/citronspring/control/codec.py
+++ b/citronspring/control/codec.py
@@ -153,9 +153,9 @@
             return ttypes.Message(records=ttypes.Records(written, part, parts))
         case RecordsRequest(after):
             return ttypes.Message(records_request=ttypes.RecordsRequest(after))
-        case SnapshotRequest(revision, part):
-            request = ttypes.SnapshotRequest(revision, part)
-            return ttypes.Message(snapshot_request=request)
+        case SnapshotRequest(revision, part, count):
+            wanted = ttypes.SnapshotRequest(revision, part, count)
+            return ttypes.Message(snapshot_request=wanted)
         case SnapshotPart(revision, part, parts, accounts):
             written = [write_account(account) for account in accounts]
             snapshot = ttypes.SnapshotPart(revision, part, parts, written)
@@ -243,8 +243,10 @@
         case ttypes.RecordsRequest():
             return RecordsRequest(integer(struct.after_revision, "revision"))
         case ttypes.SnapshotRequest():
+            revision = integer(struct.revision, "revision")
             part = integer(struct.part, "part", MAX_PARTS)
-            return SnapshotRequest(integer(struct.revision, "revision"), part)
+            count = integer(struct.count, "number of parts", MAX_ITEMS)
+            return SnapshotRequest(revision, part, count)
         case ttypes.SnapshotPart():
             part, parts = read_part(struct)
             accounts = items(struct.accounts, read_account)
--- a/citronspring/control/control.thrift
+++ b/citronspring/control/control.thrift
@@ -122,6 +122,7 @@
 struct SnapshotRequest {
   1: i64 revision
   2: i32 part
+  3: i32 count
 }
 
 struct SnapshotPart {
--- a/citronspring/control/messages.py
+++ b/citronspring/control/messages.py
@@ -101,10 +101,12 @@
 
 @dataclass(frozen=True, slots=True)
 class SnapshotRequest:
-    """Please send one part of a whole configuration of at least a revision."""
+    """Please send parts of a whole configuration of at least a revision."""
 
     revision: int
+    #: The first part, and how many with those that follow.
     part: int
+    count: int = 1
 
 
 @dataclass(frozen=True, slots=True)
--- a/citronspring/control/tables.py
+++ b/citronspring/control/tables.py
@@ -94,6 +94,8 @@
     #: Copies so far, this one included.
     copies: int = 1
     part: int = 0
+    #: Whether this is the last copy, whatever it brings.
+    last: bool = False
     #: Whether this copy brought members; another follows then.
     found: bool = False
     #: Another peer is asked at this time.
--- a/citronspring/systems/bulk.py
+++ b/citronspring/systems/bulk.py
@@ -119,24 +119,31 @@
 def offer_bulk(
     tables: Tables,
     peer: str,
-    revision: int,
-    part: int,
+    request: SnapshotRequest,
     now: float,
     actions: list[Action],
 ) -> None:
-    """Send one part, paced over all who ask."""
-    spread = tables.spread
-    if tables.revision == 0 or spread.bulk_paid_at - now > PARTS_BURST:
-        return
-    offer = find_offer(tables, revision, now)
-    if offer.revision != revision:
-        part = 0
-    if part >= len(offer.parts):
+    """Send the parts that are asked for; the first of another copy if need be."""
+    if tables.revision == 0:
         return
+    offer = find_offer(tables, request.revision, now)
+    wanted = range(request.part, request.part + request.count)
+    if offer.revision != request.revision:
+        wanted = range(1)
+    for part in wanted[: len(offer.parts)]:
+        if part < len(offer.parts) and pay_for_part(tables, now):
+            accounts = offer.parts[part]
+            message = SnapshotPart(offer.revision, part, len(offer.parts), accounts)
+            actions.append(SendControl(peer, message))
+
+
+def pay_for_part(tables: Tables, now: float) -> bool:
+    """Pace the parts over all who ask; return whether one may go."""
+    spread = tables.spread
+    if spread.bulk_paid_at - now > PARTS_BURST:
+        return False
     spread.bulk_paid_at = max(spread.bulk_paid_at, now) + 1.0 / PARTS_PER_SECOND
-    parts = len(offer.parts)
-    message = SnapshotPart(offer.revision, part, parts, offer.parts[part])
-    actions.append(SendControl(peer, message))
+    return True
 
 
 def expire_offers(tables: Tables, now: float) -> None:
@@ -198,10 +205,22 @@
         return
     if now >= bulk.retry_at:
         judge_peer(tables, bulk, now)
-    for part in missing_parts(bulk, now)[:WINDOW]:
-        bulk.ask_again_at[part] = now + PART_RETRY
-        request = SnapshotRequest(bulk.revision, part)
+    for first, count in runs_of(missing_parts(bulk, now)):
+        request = SnapshotRequest(bulk.revision, first, count)
         actions.append(SendControl(bulk.peer, request))
+        for part in range(first, first + count):
+            bulk.ask_again_at[part] = now + PART_RETRY
+
+
+def runs_of(parts: list[int]) -> list[tuple[int, int]]:
+    """Return ascending numbers as runs: the first, and how many follow it."""
+    runs: list[tuple[int, int]] = []
+    for part in parts:
+        if runs and sum(runs[-1]) == part:
+            runs[-1] = runs[-1][0], runs[-1][1] + 1
+        else:
+            runs.append((part, 1))
+    return runs
 
 
 def missing_parts(bulk: BulkRow, now: float) -> list[int]:
--- a/citronspring/systems/control.py
+++ b/citronspring/systems/control.py
@@ -81,8 +81,7 @@
         case RecordsRequest():
             receive_records_request(tables, sender, message, now, actions)
         case SnapshotRequest():
-            revision, part = message.revision, message.part
-            offer_bulk(tables, sender, revision, part, now, actions)
+            offer_bulk(tables, sender, message, now, actions)
         case SnapshotPart():
             snapshot = receive_part(tables, sender, message, now)
             if snapshot is not None:
--- a/citronspring/systems/dissemination.py
+++ b/citronspring/systems/dissemination.py
@@ -33,8 +33,13 @@
 #: then, so that the two sides of a healed partition find each other.
 FORGET_TIME = 900.0
 
-#: News in one message.
-MAX_UPDATES = 6
+#: Weight of the news in one message, and in an answer. An answer that is kept
+#: back by its size, or its host's budget, gets the host suspected.
+MESSAGE_WEIGHT = 9
+ANSWER_WEIGHT = 4
+
+#: Weight of news with the host's sockets; without them it is 1.
+HOST_WEIGHT = 3
 
 #: Messages one piece of news goes out with, times the logarithm of the fleet.
 TRANSMISSION_FACTOR = 2
@@ -45,7 +50,7 @@
 #: Hosts it goes to in a round; one is enough while there is much news, since all
 #: have something to tell then, and two would take half of the budget.
 GOSSIP_FANOUT = 2
-MUCH_NEWS = 12
+MUCH_NEWS = 24
 
 
 def present_hosts(tables: Tables) -> list[str]:
@@ -156,7 +161,7 @@
     row.suspect_until = 0.0
     match state:
         case HostState.SUSPECT:
-            row.suspect_until = now + SUSPECT_TIME
+            row.suspect_until = now + suspect_time(tables)
             tables.counters["membership.suspected"] += 1
         case HostState.DEAD:
             row.forget_at = now + FORGET_TIME
@@ -164,6 +169,17 @@
             tables.counters["membership.died"] += 1
 
 
+def suspect_time(tables: Tables) -> float:
+    """Return the seconds that a suspect has to refute.
+
+    News waits its turn, and so does a refutation: when a third of a large fleet
+    restarts, hosts that refuted in time would be held dead, and these deaths and
+    their refutations be more news still, without an end.
+    """
+    backlog = len(tables.membership.updates) / MUCH_NEWS
+    return SUSPECT_TIME * max(1.0, backlog)
+
+
 def describe(row: HostRow, with_host: bool = False) -> HostUpdate:
     """Return what is known of a host as news."""
     host = row.host if with_host else None
@@ -181,19 +197,29 @@
 
 
 def next_updates(
-    tables: Tables, *first: HostUpdate, limit: int = MAX_UPDATES
+    tables: Tables, *first: HostUpdate, weight: int = MESSAGE_WEIGHT
 ) -> tuple[HostUpdate, ...]:
     """Return news for a message, what went out least often first."""
     waiting = tables.membership.updates
+    chosen = list(first)
     named = {update.host_id for update in first}
-    chosen = sorted(waiting.values(), key=lambda row: row.sent)[:limit]
+    left = weight - sum(map(weight_of, first))
     most = transmission_limit(tables)
-    for row in chosen:
+    for row in sorted(waiting.values(), key=lambda row: row.sent):
+        left -= weight_of(row.update)
+        if left < 0:
+            break
+        if row.update.host_id not in named:
+            chosen.append(row.update)
         row.sent += 1
         if row.sent >= most:
             del waiting[row.update.host_id]
-    news = (row.update for row in chosen if row.update.host_id not in named)
-    return (*first, *news)
+    return tuple(chosen)
+
+
+def weight_of(update: HostUpdate) -> int:
+    """Return how much of a message a piece of news takes."""
+    return 1 if update.host is None else HOST_WEIGHT
 
 
 def gossip(tables: Tables, actions: list[Action]) -> None:
--- a/citronspring/systems/fence.py
+++ b/citronspring/systems/fence.py
@@ -12,7 +12,7 @@
 from citronspring.control.tables import sample
 from citronspring.events import CLOCK_JUMPED, FENCE_LOWERED
 from citronspring.messages import Drop, DropReason, Log, ReadPlatform
-from citronspring.systems.dissemination import SUSPECT_TIME, present_hosts
+from citronspring.systems.dissemination import present_hosts, suspect_time
 from citronspring.systems.membership import send_ping
 
 if TYPE_CHECKING:
@@ -55,7 +55,7 @@
     tables.membership.probes.clear()
     for row in tables.hosts.values():
         if row.suspect_until > 0.0:
-            row.suspect_until = now + SUSPECT_TIME
+            row.suspect_until = now + suspect_time(tables)
 
 
 def run_fence(tables: Tables, now: float, actions: list[Action]) -> None:
--- a/citronspring/systems/membership.py
+++ b/citronspring/systems/membership.py
@@ -15,9 +15,9 @@
 from citronspring.entities import HostState
 from citronspring.messages import SendControl
 from citronspring.systems.dissemination import (
+    ANSWER_WEIGHT,
     GOSSIP_INTERVAL,
     PRESENT,
-    SUSPECT_TIME,
     describe,
     gossip,
     introduction,
@@ -25,6 +25,7 @@
     present_hosts,
     queue_update,
     set_state,
+    suspect_time,
     take_updates,
 )
 
@@ -37,10 +38,13 @@
 PERIOD = 0.5
 
 #: Seconds between two tries to reach a host that does not answer.
-RETRY_INTERVAL = 0.25
+RETRY_INTERVAL = 0.2
+
+#: Seconds between two tries to have a suspect refute.
+SUSPECT_INTERVAL = 0.5
 
 #: Seconds without any answer after which a host is suspected.
-ANSWER_TIME = 0.8
+ANSWER_TIME = 0.65
 
 #: Hosts asked to ping one that does not answer.
 INDIRECT_PROBES = 3
@@ -51,6 +55,9 @@
 #: Times that a starting host copies the list while each copy brings members.
 MOST_COPIES = 3
 
+#: Seconds after which it copies it for the last time.
+LAST_COPY = 2.0
+
 #: Seconds a peer has to send its list of members.
 JOIN_RETRY = 0.5
 
@@ -166,11 +173,12 @@
 ) -> None:
     """Ping a silent host again; until it is suspected, through others as well."""
     membership = tables.membership
-    probe.next_at = now + RETRY_INTERVAL
+    suspected = now >= probe.deadline
+    probe.next_at = now + (SUSPECT_INTERVAL if suspected else RETRY_INTERVAL)
     probe.attempts += 1
     membership.introduced.discard(probe.host_id)
     send_ping(tables, probe.host_id, sequence, actions)
-    if now >= probe.deadline:
+    if suspected:
         return
     helpers = [name for name in present_hosts(tables) if name != probe.host_id]
     for helper in sample(membership.rng, helpers, INDIRECT_PROBES):
@@ -181,7 +189,7 @@
 def suspect(tables: Tables, row: HostRow, now: float) -> None:
     """Give a silent host a last deadline; a leaving one stays leaving."""
     if row.state is HostState.LEAVING:
-        row.suspect_until = now + SUSPECT_TIME
+        row.suspect_until = now + suspect_time(tables)
         return
     set_state(tables, row, HostState.SUSPECT, now)
     queue_update(tables, describe(row))
@@ -216,7 +224,7 @@
     """Answer, and tell the sender what is said of it."""
     row = tables.hosts[sender]
     rumour = () if row.state is HostState.ALIVE else (describe(row),)
-    updates = next_updates(tables, *rumour)
+    updates = next_updates(tables, *rumour, weight=ANSWER_WEIGHT)
     ack = Ack(message.sequence, tables.revision, updates)
     actions.append(SendControl(sender, ack))
 
@@ -307,11 +315,15 @@
     """End, or copy again: a peer that starts as well may know as little.
 
     In the end the host tells of itself: those who copied it from others' lists
-    pass no news of it on.
+    pass no news of it on. A last copy, a little later, brings hosts that started
+    at the same time.
     """
-    if not join.found or join.copies >= MOST_COPIES:
+    if join.last:
         tables.membership.join = None
+        return
+    if not join.found or join.copies >= MOST_COPIES:
         queue_update(tables, introduction(tables))
+        tables.membership.join = JoinRow(last=True, retry_at=now + LAST_COPY)
         return
     tables.membership.join = JoinRow(join.copies + 1, retry_at=now + JOIN_RETRY)
 
--- a/citronspring/systems/spread.py
+++ b/citronspring/systems/spread.py
@@ -9,7 +9,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING, TypeVar
 
-from citronspring.control.messages import Records, RecordsRequest
+from citronspring.control.messages import Records, RecordsRequest, SnapshotRequest
 from citronspring.control.tables import PushRow, sample
 from citronspring.entities import HostState
 from citronspring.messages import ReadPlatform, SendControl
@@ -83,7 +83,8 @@
     A host that knows only its seeds would take itself for a reader: a fleet that
     starts at once would then call the platform from every host.
     """
-    return tables.membership.join is None or is_alone(tables, now)
+    join = tables.membership.join
+    return join is None or join.last or is_alone(tables, now)
 
 
 def choose_readers(tables: Tables, now: float) -> None:
@@ -187,7 +188,7 @@
     if first > tables.revision:
         return
     if first not in recent:
-        offer_bulk(tables, sender, 0, 0, now, actions)
+        offer_bulk(tables, sender, SnapshotRequest(0, 0), now, actions)
         return
     last = min(tables.revision, message.after_revision + ANSWERED_RECORDS)
     records = tuple(recent[revision] for revision in range(first, last + 1))
--- a/tests/test_control/test_envelope.py
+++ b/tests/test_control/test_envelope.py
@@ -73,7 +73,7 @@
     Records((ChangeRecord(7, "c", "a", ACCOUNT), ChangeRecord(8, "d", "", None))),
     Records((ChangeRecord(7, "c", "a", ACCOUNT),), 1, 2),
     RecordsRequest(0),
-    SnapshotRequest(3, 4),
+    SnapshotRequest(3, 4, 5),
     SnapshotPart(3, 0, 2, (make_account(), ACCOUNT)),
     Loads((TargetLoad("t", 4, 200, False), TargetLoad("u", 0)), (AccountUse("a", 3),)),
 ]
