--- a/citronspring/daemons/reader.py
+++ b/citronspring/daemons/reader.py
@@ -138,22 +138,19 @@
 
     async def read(self) -> None:
         """Read what is newer than the core has and give it to the core."""
-        raised = self.core.tables.counters["fence.raised"]
+        asked_at = self.clock()
         with anyio.fail_after(READ_TIME):
-            event = await self.read_event(self.core.tables.revision)
-        if self.core.tables.counters["fence.raised"] != raised:
-            # Asked before the process stood still: it says nothing about now.
-            raise TimeoutError("the process stood still during the read")
+            event = await self.read_event(self.core.tables.revision, asked_at)
         self.answered.set()
         self.perform(self.core.receive(event, self.clock()))
 
-    async def read_event(self, revision: int) -> Event:
+    async def read_event(self, revision: int, asked_at: float) -> Event:
         """Read records, or everything where there is nothing to add them to."""
         if revision > 0:
             records = await self.source.read_records(revision)
             if records is not None:
-                return RecordsRead(records)
-        return SnapshotRead(await self.source.read_snapshot())
+                return RecordsRead(records, asked_at)
+        return SnapshotRead(await self.source.read_snapshot(), asked_at)
 
     async def watch_once(self) -> None:
         """Wait for one change, for a bounded time."""
--- a/citronspring/settings.py
+++ b/citronspring/settings.py
@@ -25,8 +25,8 @@
 from citronspring.errors import SettingsError
 from citronspring.settings_errors import finding, settings_error, shown
 
-#: Where the administration API listens unless the settings say otherwise.
-DEFAULT_ADMIN = Endpoint("127.0.0.1", 8440)
+#: Port of the administration API unless the settings say otherwise.
+DEFAULT_ADMIN_PORT = 8440
 
 #: Sockets of a host that must differ from every other host's.
 SOCKETS = ("tunnel", "relay", "control")
@@ -191,7 +191,8 @@
 class AdminSection(Section):
     """The administration API."""
 
-    listen: EndpointText = DEFAULT_ADMIN
+    #: Unless given, port 8440 of the address of the host's control socket.
+    listen: EndpointText | None = None
     #: PEM files; with neither, the API is served in clear text.
     certificate_file: str | None = None
     key_file: str | None = None
@@ -255,6 +256,11 @@
             message = f"{shown(path)}: {shown(error)}"
             raise SettingsError(message, "write it as TOML 1.0 in UTF-8") from None
 
+    @property
+    def admin_endpoint(self) -> Endpoint:
+        """Where the administration API is to listen."""
+        return self.admin.listen or Endpoint(self.host.control.ip, DEFAULT_ADMIN_PORT)
+
     def sections(self) -> list[tuple[str, HostSection]]:
         """Return this host and its peers with their keys."""
         peers = [(f"peers.{index}", peer) for index, peer in enumerate(self.peers)]
@@ -271,6 +277,19 @@
             seen[section.id] = key
         return self
 
+    @model_validator(mode="after")
+    def check_zones(self) -> Self:
+        """Refuse a host in a zone that is not listed.
+
+        Nobody would wait for such a zone before an address moves to another
+        account, and its hosts would send packets to the wrong one.
+        """
+        for key, section in self.sections():
+            if section.zone not in self.platform.zones:
+                remedy = "list it in platform.zones, or correct its spelling"
+                raise finding(f"{key}.zone", section.zone, remedy)
+        return self
+
     @model_validator(mode="after")
     def check_sockets(self) -> Self:
         """Refuse one address for two sockets: a packet would be misread."""
--- a/citronspring/systems/fence.py
+++ b/citronspring/systems/fence.py
@@ -12,6 +12,7 @@
 from citronspring.control.tables import sample
 from citronspring.events import CLOCK_JUMPED, FENCE_LOWERED
 from citronspring.messages import Drop, DropReason, Log, ReadPlatform
+from citronspring.systems.binding import forget
 from citronspring.systems.dissemination import present_hosts, suspect_time
 from citronspring.systems.membership import send_ping
 
@@ -19,8 +20,10 @@
     from citronspring.messages import Action
     from citronspring.tables import Tables
 
-#: Seconds between two ticks from which on the clock counts as having jumped.
-JUMP = 3.0
+#: Seconds between two ticks from which on the clock counts as having jumped. Less
+#: than an opening waits for its target: a SYN-ACK that waited here longer belongs to
+#: a connection that its owner has reset meanwhile.
+JUMP = 0.5
 
 #: Seconds after which a host cut off from everybody serves what it can again.
 FENCE_TIME = 2.0
@@ -46,10 +49,22 @@
     fence.platform_answered = False
     fence.sequences.clear()
     renew_suspicions(tables, now)
+    forget_openings(tables)
     actions.append(ReadPlatform(tables.revision))
     ask_peers(tables, now, actions)
 
 
+def forget_openings(tables: Tables) -> None:
+    """Drop openings and searches under way; another host has them by now.
+
+    Their deadlines passed while nobody listened. To refuse the caller for that, or
+    to try another target, could meet a connection that is established elsewhere.
+    """
+    for flow in list(tables.openings):
+        forget(tables, flow)
+    tables.walks.clear()
+
+
 def renew_suspicions(tables: Tables, now: float) -> None:
     """Start over with hosts in doubt; their time passed while nobody listened."""
     tables.membership.probes.clear()
@@ -107,12 +122,15 @@
         lower(tables, "peer", actions)
 
 
-def hear_platform(tables: Tables) -> None:
-    """Note that the platform answered since the jump.
+def hear_platform(tables: Tables, asked_at: float) -> None:
+    """Note that the platform answered a question asked since the jump.
 
-    Its reads may be stale, so a peer's word is waited for some time first.
+    An answer to an earlier one waited in the socket through the freeze. Reads may
+    be stale besides, so a peer's word is waited for some time first.
     """
-    tables.fence.platform_answered = tables.fence.until is not None
+    until = tables.fence.until
+    if until is not None and asked_at >= until - FENCE_TIME:
+        tables.fence.platform_answered = True
 
 
 def lower(tables: Tables, heard: str, actions: list[Action]) -> None:
--- a/citronspring/systems/placement.py
+++ b/citronspring/systems/placement.py
@@ -9,8 +9,11 @@
 
 from typing import TYPE_CHECKING
 
+from xxhash import xxh64_intdigest
+
 from citronspring.messages import RefusalReason
-from citronspring.rendezvous import score
+from citronspring.systems.health import is_out, weight_of
+from citronspring.systems.limits import has_room
 
 if TYPE_CHECKING:
     from citronspring.entities import FlowKey
@@ -31,10 +34,21 @@
 #: mean load: nothing like a reset tells where it lives once both copies are lost.
 DATAGRAM_LOAD_BOUND = 1.25
 
+#: Flows beyond that share which are no reason to leave it: on a host with few flows
+#: every single one would.
+DATAGRAM_SLACK = 8
+
+#: Times the mean load that the last healthy targets take before those that health
+#: speaks against are used again.
+PANIC_LOAD = 4.0
+
+UDP = 17
+
 
 def rank_targets(flow: FlowKey, rows: list[TargetRow]) -> list[TargetRow]:
     """Return target rows from the highest rendezvous weight to the lowest."""
-    return sorted(rows, key=lambda row: score(flow, row.seed), reverse=True)
+    # As `score`, without a call of its own for each target of each new flow.
+    return sorted(rows, key=lambda row: xxh64_intdigest(flow, row.seed), reverse=True)
 
 
 def placement_window(flow: FlowKey, account: AccountRow, now: float) -> list[TargetRow]:
@@ -47,20 +61,45 @@
     return rank_targets(flow, placeable)[:WINDOW]
 
 
-def load_of(row: TargetRow) -> float:
-    """Return the share of a target's connections in use, as far as known."""
-    return (row.flows + row.remote_flows) / row.target.max_connections
+def flows_on(tables: Tables, row: TargetRow) -> float:
+    """Return the open flows of a target over all hosts, as far as known.
 
+    All owners see the same target as the emptiest. Did each make up the whole
+    difference by itself, new flows would herd there until it is the fullest; so
+    what peers told counts by a part, and not at all once it is old.
+    """
+    weight = tables.loads.weight
+    own = row.flows * len(tables.ring.members)
+    told = row.flows * (1 + tables.silent_peers) + row.remote_flows
+    return (1.0 - weight) * own + weight * told
 
-def is_eligible(row: TargetRow, now: float) -> bool:
-    """Whether health and limits let the target take one more flow."""
-    return row.ejected_until <= now and load_of(row) < 1.0
 
+def usable(
+    tables: Tables, window: list[TargetRow], free: list[TargetRow], now: float
+) -> list[TargetRow]:
+    """Return the targets with room that health lets new flows go to.
 
-def may_take(row: TargetRow, now: float) -> bool:
+    Health never takes away more than half of the targets: beyond that the fault
+    may lie with this host's view, and the few left would be overrun. They then
+    still go first, until they carry ``PANIC_LOAD`` times the mean.
+    """
+    standing = [row for row in window if not is_out(tables, row, now)]
+    if len(standing) == len(window):
+        return free
+    healthy = [row for row in free if row in standing]
+    if 2 * len(standing) >= len(window):
+        return healthy
+    mean = sum(flows_on(tables, row) for row in window) / len(window)
+    ceiling = PANIC_LOAD * (mean + 1.0)
+    calm = [row for row in healthy if flows_on(tables, row) <= ceiling]
+    return calm or free
+
+
+def may_take(tables: Tables, row: TargetRow, now: float) -> bool:
     """Whether configuration, health and limits let the target take a new flow."""
     configured = not row.target.leaving and row.placeable_from <= now
-    return configured and is_eligible(row, now)
+    sound = not is_out(tables, row, now)
+    return configured and sound and has_room(tables, row)
 
 
 def choose_target(
@@ -72,29 +111,60 @@
 ) -> TargetRow | RefusalReason:
     """Return the target for a new flow, or why there is none."""
     window = placement_window(flow, account, now)
+    if window and not tried and flow[0] != UDP:
+        # Mostly nothing is wrong with the least loaded of all, and no need to look
+        # at the others' health and room.
+        best = least_loaded(tables, among(window, window), now)
+        if has_room(tables, best) and not is_out(tables, best, now):
+            return best
     untried = [row for row in window if row not in tried]
     if not untried:
         return RefusalReason.NO_HEALTHY_TARGET
-    eligible = [row for row in untried if is_eligible(row, now)]
+    free = [row for row in untried if has_room(tables, row)]
+    if not free:
+        return RefusalReason.TARGETS_FULL
+    eligible = usable(tables, window, free, now)
     if not eligible:
-        if any(row.ejected_until <= now for row in untried):
-            return RefusalReason.TARGETS_FULL
         return RefusalReason.NO_HEALTHY_TARGET
-    count = len(eligible) if len(window) <= ALL_CANDIDATES else CANDIDATES
-    candidates = eligible[:count]
-    if flow[0] == 17:
-        return first_within_bound(candidates)
-    return min(
-        candidates, key=lambda row: (load_of(row), row.target.zone != tables.zone)
-    )
+    candidates = among(window, eligible)
+    if flow[0] == UDP:
+        return first_within_bound(tables, candidates)
+    return least_loaded(tables, candidates, now)
 
 
-def first_within_bound(candidates: list[TargetRow]) -> TargetRow:
+def among(window: list[TargetRow], eligible: list[TargetRow]) -> list[TargetRow]:
+    """Return the eligible targets that are compared by load."""
+    return eligible if len(window) <= ALL_CANDIDATES else eligible[:CANDIDATES]
+
+
+def least_loaded(tables: Tables, candidates: list[TargetRow], now: float) -> TargetRow:
+    """Return the least full candidate; of equals, the first in this host's zone.
+
+    What `flows_on` and `weight_of` say stands here without calls: this loop is a
+    fifth of what a new flow costs.
+    """
+    hosts = 1 + tables.silent_peers
+    zone = tables.zone
+    best, lightest = candidates[0], float("inf")
+    for row in candidates:
+        flows = row.flows * hosts + row.remote_flows + 1.0
+        load = flows / row.target.max_connections
+        if row.notes is not None or row.warm_at > now:
+            load *= weight_of(row, now)
+        if load > lightest:
+            continue
+        if load < lightest or row.target.zone == zone != best.target.zone:
+            best, lightest = row, load
+    return best
+
+
+def first_within_bound(tables: Tables, candidates: list[TargetRow]) -> TargetRow:
     """Return the first-ranked candidate that is not loaded far above the mean."""
-    total = sum(row.flows + row.remote_flows for row in candidates)
-    bound = DATAGRAM_LOAD_BOUND * (total + 1) / len(candidates)
+    total = sum(flows_on(tables, row) for row in candidates)
+    mean = (total + 1) / len(candidates)
+    bound = DATAGRAM_LOAD_BOUND * mean + DATAGRAM_SLACK
     for row in candidates:
-        if row.flows + row.remote_flows <= bound:
+        if flows_on(tables, row) <= bound:
             return row
     return candidates[0]
 
--- a/tests/test_daemons/test_control.py
+++ b/tests/test_daemons/test_control.py
@@ -25,8 +25,8 @@
 pytestmark = pytest.mark.anyio
 
 
-async def start_hosts(group, sources, first_port):
-    system = Loopback(group, random.Random(1), ZONES, first_port=first_port)
+async def start_hosts(group, sources):
+    system = Loopback(group, random.Random(1), ZONES)
     sections = system.describe_hosts(len(sources))
     daemons = []
     for section, source in zip(sections, sources, strict=True):
@@ -52,7 +52,7 @@
     """
     async with anyio.create_task_group() as group:
         sources = [FixedSource(snapshot), FixedSource(None), FixedSource(None)]
-        daemons = await start_hosts(group, sources, 22_200)
+        daemons = await start_hosts(group, sources)
         await wait_until(
             lambda: all(daemon.core.tables.revision == 1 for daemon in daemons)
         )
@@ -72,7 +72,7 @@
     """
     async with anyio.create_task_group() as group:
         sources = [FixedSource(snapshot), FixedSource(snapshot)]
-        daemons = await start_hosts(group, sources, 22_300)
+        daemons = await start_hosts(group, sources)
         tables = daemons[0].core.tables
         address = (tables.me.host.control.ip, tables.me.host.control.port)
         leaving = Gossip(1, (HostUpdate("host-1", HostState.LEAVING, 1 << 50),))
@@ -135,29 +135,24 @@
         reader.request()
         await wait_until(lambda: core.events)
         group.cancel_scope.cancel()
-    assert core.events == [SnapshotRead(snapshot)]
+    [event] = core.events
+    assert event == SnapshotRead(snapshot, event.asked_at)
+    assert event.asked_at >= started
     assert reader.retry_at - started >= 1.5
 
 
-async def test_read_from_before_a_freeze_is_not_taken_for_current(snapshot):
+async def test_read_from_before_a_freeze_bears_the_time_it_was_asked(snapshot):
     """The process stands still while a read is under way.
 
-    Its answer tells what was, and would let packets that waited through.
+    Its answer tells what was, and would let packets that waited through. The core
+    sees by the time of the question that it is no proof.
     """
     core, reader = make_reader(FixedSource(snapshot))
     core.tables.revision = 1
-    event = reader.read_event
-
-    async def frozen_meanwhile(revision):
-        core.tables.counters["fence.raised"] += 1
-        return await event(revision)
-
-    reader.read_event = frozen_meanwhile
-    assert not await reader.attempt(reader.read)
-    assert core.events == []
-    reader.read_event = event
-    assert await reader.attempt(reader.read)
-    assert core.events == [RecordsRead(())]
+    times = [5.0, 15.0]
+    reader.clock = lambda: times[0] if len(times) == 1 else times.pop(0)
+    await reader.read()
+    assert core.events == [RecordsRead((), asked_at=5.0)]
 
 
 async def test_records_that_are_forgotten_are_replaced_by_a_snapshot():
@@ -167,7 +162,7 @@
 
     newest = Snapshot(400, (make_account(),))
     _, reader = make_reader(Forgetful(newest))
-    assert await reader.read_event(5) == SnapshotRead(newest)
+    assert await reader.read_event(5, 1.0) == SnapshotRead(newest, 1.0)
 
 
 async def test_keys_are_read_from_settings_and_files(tmp_path):
--- a/tests/test_daemons/test_host.py
+++ b/tests/test_daemons/test_host.py
@@ -17,7 +17,7 @@
 
 async def test_upload_and_preview_come_back_whole(snapshot):
     async with anyio.create_task_group() as group:
-        system = Loopback(group, random.Random(1), ZONES, first_port=22_000)
+        system = Loopback(group, random.Random(1), ZONES)
         await system.start()
         await system.add_targets(snapshot)
         sections = system.describe_hosts(3)
--- a/tests/test_systems/test_membership.py
+++ b/tests/test_systems/test_membership.py
@@ -12,6 +12,7 @@
     DropReason,
     HostListRead,
     LeaveRequested,
+    RecordsRead,
     SendControl,
 )
 from tests.conftest import make_host
@@ -289,7 +290,8 @@
     core.tick(0.0)
     core.tick(10.0)
     assert fenced(core.receive(driver.syn(driver.flow_to()), 10.1)[0])
-    core.tick(11.9)
+    for step in range(1, 20):
+        core.tick(10.0 + 0.1 * step)
     assert core.tables.fence.until is not None
     core.tick(12.0)
     assert driver.sent_to(core.receive(driver.syn(driver.flow_to()), 12.1))
@@ -342,3 +344,34 @@
     assert core.tables.fence.until is not None
     core.receive(ControlReceived("host-1", Ack(behind, current)), 10.1)
     assert core.tables.fence.until is None
+
+
+def test_platform_answer_asked_before_the_freeze_does_not_lower_the_fence(snapshot):
+    """A host sleeps while its read of the platform is under way, and wakes.
+
+    The answer waited with the packets and may be older than a change made since.
+    Only an answer to a question asked after the jump counts.
+    """
+    core = driver.make_core(snapshot, hosts=2)
+    core.tick(0.0)
+    core.receive(RecordsRead((), asked_at=0.2), 10.0)
+    core.tick(10.0)
+    assert not core.tables.fence.platform_answered
+    core.receive(RecordsRead((), asked_at=10.0), 10.1)
+    assert core.tables.fence.platform_answered
+
+
+def test_openings_from_before_the_freeze_are_forgotten(snapshot):
+    """A host sleeps while an opening it owns is under way, and wakes after 10 s.
+
+    Another owner has opened the flow meanwhile, on the same target. Refusing the
+    caller and resetting the target for the deadline that passed would end it.
+    """
+    core = driver.make_core(snapshot, hosts=2)
+    core.tick(0.0)
+    core.receive(driver.syn(driver.owned_flow(core)), 0.1)
+    assert core.tables.openings
+    actions = core.tick(10.0)
+    assert not core.tables.openings
+    assert not {"Refuse", "ResetTarget"} & set(driver.kinds(actions))
+    assert not any(row.flows for row in core.tables.targets.values())
