--- a/tests/test_systems/test_membership.py
+++ b/tests/test_systems/test_membership.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from citronspring.control.messages import Ack, HostUpdate, Ping, Records
+from citronspring.control.budget import urgency_of
+from citronspring.control.messages import Ack, Gossip, HostUpdate, Ping, Records
 from citronspring.entities import ChangeRecord, HostState
 from citronspring.messages import (
     ControlReceived,
@@ -15,6 +16,12 @@
     RecordsRead,
     SendControl,
 )
+from citronspring.systems.dissemination import (
+    MUCH_NEWS,
+    SUSPECT_TIME,
+    queue_update,
+    set_state,
+)
 from tests.conftest import make_host
 from tests.test_systems import driver
 from tests.test_systems.cluster import SETTLE, Cluster
@@ -76,6 +83,50 @@
     assert cluster.counted("membership.suspected") < 60
 
 
+def test_suspect_gets_longer_while_much_news_waits(snapshot):
+    """A third of a large fleet restarts and news queues up at every host.
+
+    Refutations queue as well. By the usual deadline hosts that serve would be
+    held dead, which makes more news: the benchmark's storm never ended so.
+    """
+    core = driver.make_core(snapshot, hosts=2)
+    row = core.tables.hosts["host-1"]
+    set_state(core.tables, row, HostState.SUSPECT, 10.0)
+    assert row.suspect_until == 10.0 + SUSPECT_TIME
+    for index in range(2 * MUCH_NEWS):
+        queue_update(core.tables, HostUpdate(f"host-{index}", HostState.ALIVE, 5))
+    set_state(core.tables, row, HostState.SUSPECT, 10.0)
+    assert row.suspect_until == 10.0 + 2 * SUSPECT_TIME
+
+
+def test_third_of_the_fleet_restarts_and_all_agree_again():
+    """Eight of 24 hosts are replaced within four seconds.
+
+    Rumours of their deaths travel beside news of their return. All must end up
+    with every host in the ring, and none of the others held dead meanwhile.
+    """
+    cluster = settled(count=24, loss=0.05)
+    for step in range(140):
+        index = 4 + step // 5
+        if step % 5 == 0 and index < 12:
+            cluster.network.kill_host(f"host-{index}")
+            cluster.network.after(
+                0.5, lambda index=index: cluster.start(f"host-{index}", 1000)
+            )
+        cluster.run(0.1)
+        for kept in (0, 3, 12, 23):
+            assert HostState.DEAD not in cluster.states_of(f"host-{kept}")
+    assert cluster.all_alive()
+    assert cluster.agreed()
+
+
+def test_pings_go_first_when_the_budget_is_short():
+    """News of many hosts waits, and a ping is to be answered in time."""
+    assert urgency_of(Ping(1, 1)) < urgency_of(Gossip(1))
+    assert urgency_of(Ack(1, 1)) < urgency_of(Gossip(1))
+    assert urgency_of(Records(())) < urgency_of(Gossip(1))
+
+
 def test_suspected_host_refutes_under_a_new_incarnation():
     """A rumour says that a serving host is suspect.
 
