--- a/citronspring/experiments/run.py
+++ b/citronspring/experiments/run.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, Any
 
 from citronspring.balancer import Balancer
+from citronspring.configuration.running import run_in_place
 from citronspring.configuration.shards import HEAD_KEY
 from citronspring.configuration.store import ConfigurationStore
 from citronspring.daemons.reader import zone_revision
@@ -324,7 +325,7 @@
     def make_store(self, reachable: Callable[[], bool]) -> ConfigurationStore:
         """Return a store of one process, which knows nothing yet."""
         platform = self.platform_for(reachable)
-        return ConfigurationStore.from_platform(platform, SYSTEM_ZONES)
+        return ConfigurationStore.from_platform(platform, SYSTEM_ZONES, run_in_place)
 
     def run(self) -> History:
         """Run the scenario to its end; return the history."""
