--- /dev/null
+++ b/citronspring/cli/experiment.py
@@ -0,0 +1,60 @@
+"""The command ``experiment``: many seeded runs under faults, judged."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from citronspring.cli.commands import Command, NumberFlag
+from citronspring.cli.exit_codes import UsageError
+from citronspring.experiments.report import KEPT_SEEDS, run_seeds
+
+if TYPE_CHECKING:
+    from citronspring.cli.commands import Invocation
+    from citronspring.experiments.report import Campaign, SeedResult
+
+#: Violations of one seed that are printed.
+SHOWN_VIOLATIONS = 5
+
+
+def experiment(invocation: Invocation) -> int:
+    """Run seeds and print what they showed; 1 if a promise was broken."""
+    first, count = invocation.flags["first"], invocation.flags["seeds"]
+    if count < 1:
+        raise UsageError("no seeds to run", "give --seeds=1 or more")
+    seeds = sorted({*KEPT_SEEDS, *range(first, first + count)})
+    campaign = run_seeds(seeds, tell_broken)
+    print_campaign(campaign)
+    return 1 if campaign.broken else 0
+
+
+def tell_broken(result: SeedResult) -> None:
+    """Print a seed that broke a promise, with the faults it had."""
+    if not result.violations:
+        return
+    faults = ", ".join(fault.kind.value for fault in result.scenario.faults)
+    print(f"seed {result.seed} ({result.scenario.hosts} hosts; {faults})")
+    for violation in result.violations[:SHOWN_VIOLATIONS]:
+        print(f"  {violation}")
+
+
+def print_campaign(campaign: Campaign) -> None:
+    """Print the totals of all seeds."""
+    for name, count in sorted(campaign.totals().items()):
+        print(f"{name:24}  {count:>8}")
+    print(f"{'pairs of faults met':24}  {len(campaign.pairs()):>8}")
+    print(f"{'seeds run':24}  {len(campaign.results):>8}")
+    print(f"{'seeds that broke a promise':24}  {len(campaign.broken):>6}")
+
+
+COMMANDS = (
+    Command(
+        ("experiment",),
+        (),
+        experiment,
+        "Run seeds of many cores under faults in virtual time, and judge them.",
+        (
+            NumberFlag("first", "First seed.", 0),
+            NumberFlag("seeds", "Number of seeds.", 100),
+        ),
+    ),
+)
--- a/citronspring/cli/main.py
+++ b/citronspring/cli/main.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from citronspring import __version__
-from citronspring.cli import changes, serve, views
+from citronspring.cli import changes, experiment, serve, views
 from citronspring.cli.commands import (
     HELP_FLAGS,
     Command,
@@ -54,6 +54,7 @@
         run_try,
         "Run a small system on loopback under failures, and judge it.",
     ),
+    *experiment.COMMANDS,
     *serve.COMMANDS,
     *changes.COMMANDS,
     *views.COMMANDS,
--- /dev/null
+++ b/citronspring/standins/datagrams.py
@@ -0,0 +1,81 @@
+"""Requests in single datagrams: non-idempotent, never sent again by the caller."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from citronspring.standins.service import (
+    CallerSession,
+    Outcome,
+    Request,
+    expected_answer,
+)
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from citronspring.entities import FlowKey
+
+#: Seconds a server takes at the most; longer than a host watches a datagram.
+SLOWEST = 2.5
+
+
+@dataclass(frozen=True, slots=True)
+class Datagram:
+    """A datagram of a flow, or the network's word that nobody took one."""
+
+    flow: FlowKey
+    payload: bytes
+    unreachable: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class DatagramServer:
+    """A target's server of datagram requests."""
+
+    rng: random.Random
+    on_run: Callable[[Request], None]
+    #: Answers and the time they are due.
+    due: list[tuple[float, Datagram]] = field(default_factory=list)
+
+    def receive(self, datagram: Datagram, shedding: bool, now: float) -> list[Datagram]:
+        """Run a request at once and answer it later; refuse it when shedding."""
+        if shedding:
+            return [Datagram(datagram.flow, b"", unreachable=True)]
+        request = Request.from_header(datagram.payload)
+        self.on_run(request)
+        answer = Datagram(datagram.flow, expected_answer(request))
+        self.due.append((now + self.rng.uniform(0.0, SLOWEST), answer))
+        return []
+
+    def tick(self, now: float) -> list[Datagram]:
+        """Return the answers that are due."""
+        ready = [answer for at, answer in self.due if at <= now]
+        self.due = [item for item in self.due if item[0] > now]
+        return ready
+
+
+@dataclass(slots=True, eq=False)
+class DatagramCaller:
+    """Callers that send one datagram a flow."""
+
+    sessions: dict[FlowKey, CallerSession] = field(default_factory=dict)
+
+    def open(self, flow: FlowKey, request: Request) -> Datagram:
+        """Start a request; return its datagram."""
+        self.sessions[flow] = CallerSession(request)
+        return Datagram(flow, request.header())
+
+    def receive(self, datagram: Datagram) -> None:
+        """Judge an answer."""
+        session = self.sessions.get(datagram.flow)
+        if session is None or session.outcome is not None:
+            return
+        if datagram.unreachable:
+            session.outcome = Outcome.REFUSED
+            session.refusal = datagram.payload.decode() or "unreachable"
+            return
+        own = datagram.payload == expected_answer(session.request)
+        session.outcome = Outcome.WHOLE if own else Outcome.WRONG
--- a/citronspring/standins/service.py
+++ b/citronspring/standins/service.py
@@ -166,6 +166,8 @@
     BROKEN = "broken"
     #: An answer that is not the caller's own.
     WRONG = "wrong"
+    #: A datagram that nothing answered; the network may have lost it.
+    UNANSWERED = "unanswered"
 
 
 @dataclass(slots=True, eq=False)
--- a/citronspring/standins/stacks.py
+++ b/citronspring/standins/stacks.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from citronspring.messages import ACK, RST, SYN
+from citronspring.standins.datagrams import DatagramServer
 from citronspring.standins.service import CallerSession, ServerSession
 from citronspring.standins.tcp import Connection, Segment, State, reset_for
 
@@ -38,8 +39,12 @@
     forget_at: dict[FlowKey, float] = field(default_factory=dict)
     #: Answers every SYN with a reset while set.
     shedding: bool = False
-    #: SYNs seen, to tell whether a leaving target gets new work.
+    #: Times of accepted connections, to tell whether a leaving target gets work.
     accepted_at: list[float] = field(default_factory=list)
+    datagrams: DatagramServer = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.datagrams = DatagramServer(self.rng, self.on_run)
 
     def receive(self, flow: FlowKey, segment: Segment, now: float) -> list[Outgoing]:
         """Handle a segment; return what to send."""
