Let addresses move between accounts in the runs of concurrent operators

The machine now draws addresses from a common pool, lets zones confirm late, and checks at each swap that no account holds an address of another, nor takes one before every zone confirmed the revision at which it left. All running operators can be brought to their swaps together, and what the last steps committed is checked too: with the commits of the teardown unchecked, the mutant without a conflict check passed.

--- a/tests/test_configuration/test_concurrency.py
+++ b/tests/test_configuration/test_concurrency.py
@@ -15,9 +15,12 @@
 )
 
 from citronspring.configuration import prepare as prepare_module
+from citronspring.configuration.addresses import addresses_of
 from citronspring.configuration.changes import DeleteAccount
 from citronspring.configuration.shards import HEAD_KEY
 from citronspring.configuration.store import Committed
+from citronspring.configuration.zones import zone_key
+from citronspring.entities import Account
 from citronspring.errors import (
     ConflictError,
     OutcomeUnknownError,
@@ -25,6 +28,7 @@
 )
 from citronspring.platform.memory import Switches
 from tests.test_configuration.stepping import (
+    ZONES,
     Operator,
     call,
     head_of,
@@ -33,10 +37,15 @@
     put,
 )
 
-ACCOUNTS = {"archivio": "192.0.2.1", "bundelpers": "192.0.2.2"}
+ACCOUNTS = ("archivio", "bundelpers")
+
+#: More than accounts, so that addresses move between them.
+ADDRESSES = ("192.0.2.1", "192.0.2.2", "192.0.2.3")
 
 PROCESSES = 3
 
+NOTHING = Account("")
+
 #: What can happen to a swap of the head; an outage begins after it.
 FAULTS = [
     Switches(),
@@ -56,8 +65,9 @@
 
     The model is the list of heads the platform ever held, read straight from
     its memory at each step. Against it: revisions only rise, by one record
-    each; a change id is committed at most once; what operators and readers were
-    told is true at the end.
+    each; a change id is committed at most once; an address goes to another
+    account only after every zone confirmed that it left; what operators and
+    readers were told is true at the end.
     """
 
     @initialize()
@@ -72,16 +82,19 @@
         self.told: list[tuple[object, Operator]] = []
         self.records: list = []
         self.known = [0] * PROCESSES
+        #: Revision at which an address last left an account.
+        self.left: dict[tuple[str, str], int] = {}
         #: Newest revision its account had when a call of a change first wrote.
         self.started_from: dict[str, int] = {}
 
     @rule(
         process=st.integers(0, PROCESSES - 1),
-        account_id=st.sampled_from(sorted(ACCOUNTS)),
+        account_id=st.sampled_from(ACCOUNTS),
+        ip=st.sampled_from(ADDRESSES),
         limit=st.integers(0, 1000),
         careful=st.booleans(),
     )
-    def send_change(self, process, account_id, limit, careful):
+    def send_change(self, process, account_id, ip, limit, careful):
         store = self.stores[process]
         token = f"c{len(self.sent)}"
         if limit == 0:
@@ -96,7 +109,7 @@
             change = put(
                 store.new_change_id(token),
                 account_id,
-                ip=ACCOUNTS[account_id],
+                ip=ip,
                 limit=limit,
                 if_revision=seen if careful else None,
             )
@@ -130,34 +143,46 @@
     @rule(data=st.data(), fault=st.sampled_from(FAULTS))
     def swap(self, data, fault):
         """Run an operator up to its swap of the head and let that one fail."""
-        found = self.run_to_swap(data)
-        if found is None or found[0].done:
+        if not self.running:
+            return
+        index = data.draw(st.integers(0, len(self.running) - 1))
+        operator, change = self.running[index]
+        self.run_to_swap(operator, change)
+        if operator.done:
             return
-        operator, change = found
         outage = self.platform.switches.outage
         self.platform.switches = replace(fault, outage=outage)
         self.advance(operator, change)
         self.platform.switches.outage = outage or fault.outage
 
-    @rule(data=st.data())
-    def prepare_swap(self, data):
-        self.run_to_swap(data)
+    @rule()
+    def prepare_swaps(self):
+        """Run all operators up to their swaps, so that one wins and others lose."""
+        for operator, change in self.running:
+            self.run_to_swap(operator, change)
 
-    def run_to_swap(self, data):
-        """Run an operator up to its swap of the head."""
-        if not self.running:
-            return None
-        index = data.draw(st.integers(0, len(self.running) - 1))
-        operator, change = self.running[index]
+    def run_to_swap(self, operator, change):
         while not operator.done and operator.next_call != ("put", HEAD_KEY):
             self.advance(operator, change)
-        return operator, change
 
     @rule(stale_reads=st.integers(0, 4), stale_by=st.integers(1, 3))
     def read_stale(self, **switches):
         outage = self.platform.switches.outage
         self.platform.switches = Switches(outage=outage, **switches)
 
+    @rule(
+        process=st.integers(0, PROCESSES - 1),
+        zone=st.sampled_from(ZONES),
+        behind=st.integers(0, 2),
+    )
+    def confirm(self, process, zone, behind):
+        before = self.confirmed_by(zone)
+        revision = max(0, len(self.records) - behind)
+        with suppress(PlatformUnavailableError):
+            confirmed = call(self.stores[process].confirm_zone(zone, revision))
+            assert confirmed >= revision
+        assert self.confirmed_by(zone) >= before
+
     @rule(outage=st.booleans())
     def outage(self, outage):
         self.platform.switches.outage = outage
@@ -208,7 +233,31 @@
         known = len(self.records)
         fresh = [r for r in head.records if r.revision > known]
         assert [r.revision for r in fresh] == list(range(known + 1, head.revision + 1))
-        self.records += fresh
+        for record in fresh:
+            self.check_addresses(record)
+            self.records.append(record)
+
+    def check_addresses(self, record):
+        """Compare what an account takes with the accounts before it."""
+        accounts = {a.account_id: a for a in self.accounts_at(len(self.records))}
+        before = addresses_of(accounts.pop(record.account_id, NOTHING))
+        after = addresses_of(record.account or NOTHING)
+        for account_id in ACCOUNTS:
+            if account_id == record.account_id:
+                continue
+            assert not after & addresses_of(accounts.get(account_id, NOTHING))
+            for address in after - before:
+                assert self.confirmed() >= self.left.get((address, account_id), 0)
+        for address in before - after:
+            self.left[address, record.account_id] = record.revision
+
+    def confirmed(self):
+        """Return the revision that all zones have confirmed."""
+        return min(self.confirmed_by(zone) for zone in ZONES)
+
+    def confirmed_by(self, zone):
+        versions = self.platform.values.get(zone_key(zone))
+        return int(versions[-1].value) if versions else 0
 
     def accounts_at(self, revision):
         """Return the model's accounts at a revision."""
@@ -247,6 +296,7 @@
             while not operator.done:
                 self.advance(operator, change)
             self.told.append((change, operator))
+        self.no_change_is_lost_under_another()
         committed = {r.change_id: r.revision for r in self.records}
         for change, operator in self.told:
             self.check_told(change, operator, committed)
@@ -286,6 +336,6 @@
     derandomize=True,
     deadline=None,
     database=None,
-    max_examples=250,
+    max_examples=400,
     stateful_step_count=60,
 )
