--- a/tests/test_systems/test_binding.py
+++ b/tests/test_systems/test_binding.py
@@ -164,6 +164,50 @@
     assert account.open_flows == core.tables.targets["bundelpers-1"].flows == 1
 
 
+def test_owner_of_a_moment_ago_keeps_its_placement_unless_the_target_leaves(snapshot):
+    """A repeated SYN finds the target that has answered it, but no leaving one.
+
+    This host still takes itself for the owner and has placed the SYN; the new owner
+    proposes another target. The first placement stands, as the caller may have its
+    answer, unless that target has been told to leave meanwhile.
+    """
+    core = driver.make_core(snapshot, hosts=2)
+    flow = driver.owned_flow(core)
+    first = driver.open_flow(core, flow)
+    event = driver.relayed(
+        driver.syn(flow), kind=RelayKind.PROPOSE, target_id="bundelpers-6"
+    )
+    assert first != "bundelpers-6"
+    assert driver.sent_to(core.receive(event, 0.5)) == [first]
+    core.receive(SnapshotRead(leave(snapshot, first)), 1.0)
+    assert driver.sent_to(core.receive(event, 1.5)) == ["bundelpers-6"]
+
+
+def test_changed_placement_reaches_its_copy(snapshot):
+    """The host that would take over knows where a retried opening went."""
+    core = driver.make_core(snapshot, hosts=2)
+    flow = driver.owned_flow(core, owner=False)
+    event = driver.relayed(
+        driver.syn(flow), kind=RelayKind.PROPOSE, target_id="bundelpers-1"
+    )
+    core.receive(event, 0.0)
+    core.receive(binding(flow, "bundelpers-2"), 0.5)
+    row = core.tables.flows.rows[flow]
+    assert row.target.target.target_id == "bundelpers-2"
+    assert row.state == FlowState.BACKUP
+
+
+def test_host_that_does_not_own_a_flow_does_not_count_it(snapshot):
+    """A target does not look fuller for answers that strayed to another host."""
+    core = driver.make_core(snapshot, hosts=2)
+    flow = driver.owned_flow(core, owner=False)
+    answer = driver.from_target(flow, "bundelpers-1", data=b"page")
+    core.receive(driver.relayed(answer), 0.0)
+    core.receive(driver.relayed(driver.from_caller(flow)), 0.0)
+    assert core.tables.flows.rows[flow].state == FlowState.BACKUP
+    assert core.tables.accounts["bundelpers"].open_flows == 0
+
+
 def test_copies_of_tcp_flows_are_short_lived(snapshot):
     core = driver.make_core(snapshot, hosts=2)
     target = core.tables.targets["bundelpers-1"]
--- a/tests/test_systems/test_ownership.py
+++ b/tests/test_systems/test_ownership.py
@@ -46,6 +46,20 @@
     assert core.tables.accounts["bundelpers"].open_flows == kept
 
 
+def test_opening_of_a_flow_that_moved_is_not_refused_here(snapshot):
+    """A caller is not refused by a host that no longer owns its opening.
+
+    The answers go to the new owner, so that here it looks as if none had come.
+    """
+    core = driver.make_core(snapshot, hosts=2)
+    flow = driver.owned_flow(core)
+    core.receive(driver.syn(flow), 0.0)
+    set_state(core, "host-0", HostState.LEAVING, 0.1)
+    for step in range(120):
+        assert not driver.expire(core, step * 0.05)
+    assert not core.tables.openings
+
+
 def test_last_host_goes_on_serving(snapshot):
     """A host that is leaving, with no other in sight, drops nothing."""
     core = driver.make_core(snapshot)
--- a/tests/test_systems/test_routing.py
+++ b/tests/test_systems/test_routing.py
@@ -71,13 +71,15 @@
     may speak for it.
     """
     core = driver.make_core(snapshot)
-    flow = driver.flow_to()
-    driver.open_flow(core, flow)
-    event = driver.from_target(flow, source, data=b"x")
-    if relay:
-        event = driver.relayed(event)
-    actions = core.receive(event, 1.0)
-    assert driver.kinds(actions) == ["Drop"]
+    known, unknown = driver.flow_to(), driver.flow_to(port=50_000)
+    driver.open_flow(core, known)
+    for flow in (known, unknown):
+        event = driver.from_target(flow, source, data=b"x")
+        if relay:
+            event = driver.relayed(event)
+        [drop] = core.receive(event, 1.0)
+        assert drop.reason is DropReason.FOREIGN_SOURCE
+    assert unknown not in core.tables.flows.rows
 
 
 @pytest.mark.parametrize(
--- a/tests/test_systems/test_second_chance.py
+++ b/tests/test_systems/test_second_chance.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from citronspring.entities import Snapshot
-from citronspring.messages import RST, RelayKind, SnapshotRead
+from citronspring.messages import ACK, RST, SYN, RelayKind, SnapshotRead
 from citronspring.systems.placement import WINDOW, possible_targets
 from citronspring.systems.second_chance import ASK_TIMEOUT, PROBE_TIMEOUT
 from citronspring.tables import FlowState
@@ -216,3 +216,83 @@
     for port in range(1024, 1324):
         possible = possible_targets(driver.flow_to(port=port), row)
         assert first.target_id in [item.target.target_id for item in possible]
+
+
+def test_silent_target_is_not_taken_for_the_holder_while_uncertain(snapshot):
+    """A stream is not sent to the wrong target for want of a newer revision.
+
+    A peer tells of revision 2, whose new target this host does not know. Six of
+    seven targets say no and one is silent, but the flow may be on the eighth.
+    """
+    core = driver.make_core(snapshot, hosts=2)
+    core.tables.hosts["host-1"].revision = 2
+    flow = driver.owned_flow(core)
+    core.receive(driver.from_caller(flow), 1.0)
+    now = 1.0 + ASK_TIMEOUT
+    actions = driver.expire(core, now)
+    for position in range(7):
+        [target_id] = driver.sent_to(actions)
+        if position == 3:
+            now += PROBE_TIMEOUT
+            actions = driver.expire(core, now)
+        else:
+            actions = core.receive(driver.reset(flow, target_id), now)
+    assert flow not in core.tables.flows.rows
+
+
+def test_data_replaces_a_bare_acknowledgement_as_the_probe(snapshot):
+    """An upload that starts with a bare acknowledgement does not wait for timeouts.
+
+    No target answers that one, holder or not. The data that follows is held no
+    longer than it takes to start over with it, at the target that is asked now.
+    """
+    core = driver.make_core(snapshot)
+    flow = driver.flow_to()
+    [first] = driver.sent_to(core.receive(driver.from_caller(flow), 1.0))
+    data = driver.from_caller(flow, data=b"poem")
+    assert driver.sent_to(core.receive(data, 1.0)) == [first]
+    actions = core.receive(driver.from_target(flow, first), 1.0)
+    assert driver.kinds(actions) == ["SendToCaller", "SendToTarget"]
+
+
+def test_syn_ack_that_the_caller_did_not_take_ends_no_search(snapshot):
+    """An upload is not bound to the target whose answer its caller ignored.
+
+    A second placement of its SYN left a half-open connection, whose target repeats
+    its SYN-ACK while the search goes on. Its number is not the one the caller
+    acknowledged, however near; the SYN-ACK of the right target would be.
+    """
+    core = driver.make_core(snapshot)
+    flow = driver.flow_to()
+    core.receive(driver.from_caller(flow, data=b"poem"), 1.0)
+    near_miss = driver.from_target(
+        flow, "bundelpers-1", SYN | ACK, seq=driver.TARGET_SEQ + 1000
+    )
+    assert driver.kinds(core.receive(near_miss, 1.0)) == ["Drop"]
+    assert flow in core.tables.walks
+    taken = driver.syn_ack(flow, "bundelpers-2")
+    assert driver.kinds(core.receive(taken, 1.0))[0] == "SendToCaller"
+    row = core.tables.flows.rows[flow]
+    assert row.target.target.target_id == "bundelpers-2"
+
+
+def test_answers_teach_within_the_table(snapshot):
+    """A target that speaks for unknown flows fills no table and keeps no row long.
+
+    An unconfirmed SYN-ACK is remembered no longer than an opening may take. An ICMP
+    error says where a flow is not, and a full table learns nothing; all is passed
+    on or dropped without a row.
+    """
+    core = driver.make_core(snapshot)
+    rows = core.tables.flows.rows
+    flow = driver.flow_to()
+    core.receive(driver.syn_ack(flow, "bundelpers-1"), 0.0)
+    assert rows[flow].deadline == 5.0
+    driver.expire(core, 12.0)
+    error = driver.from_target(flow, "bundelpers-1", 0)
+    error.packet.unreachable = True
+    assert driver.kinds(core.receive(error, 12.0)) == ["Drop"]
+    core.tables.max_flows = 0
+    answer = driver.from_target(flow, "bundelpers-1", data=b"page")
+    assert driver.kinds(core.receive(answer, 12.0)) == ["SendToCaller"]
+    assert not rows
