--- /dev/null
+++ b/tests/test_benchmarks/test_figures.py
@@ -0,0 +1,66 @@
+"""Regression bounds on the benchmark figures that do not depend on a clock."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from benchmarks.balance import BOUND, TODAY, SteadyLoad
+from benchmarks.churn import ChurnRun, Variant
+from benchmarks.decision import measure_bytes
+from benchmarks.relays import Fleet
+from citronspring.standins.service import Outcome
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+
+#: Virtual seconds of churn, a third of what the benchmark runs.
+DURATION = 40.0
+
+
+@pytest.mark.parametrize("seed", [0, 1])
+def test_no_flow_breaks_under_churn(seed):
+    """Every upload, preview and correction comes back whole, and runs once.
+
+    Hosts are killed, join and leave, targets come and go, one change every six
+    seconds, while views lag. The hash-only core, under the same changes, shows that
+    they do break flows.
+    """
+    figures = ChurnRun.from_seed(Variant.BALANCER, seed, DURATION).run()
+    assert figures.outcomes == {Outcome.WHOLE: figures.requests}
+    assert (figures.run_twice, figures.late_work) == (0, 0)
+    assert sum(figures.changes.values()) >= 5
+    hashed = ChurnRun.from_seed(Variant.HASH_ONLY, seed, DURATION).run()
+    assert hashed.broken > 10
+
+
+def test_steady_load_is_even():
+    ours, hashed = SteadyLoad.from_seed(TODAY, 0).run()
+    assert ours <= BOUND < hashed
+
+
+def test_hints_cut_relays():
+    assert Fleet.from_spray(stable=True, hints=True).run() <= 0.15
+    assert Fleet.from_spray(stable=False, hints=True).run() <= 0.45
+
+
+def test_flow_takes_few_bytes():
+    """A row that grows by one field costs megabytes at hundreds of thousands.
+
+    At this size a flow's share of the owner ring, which does not grow, is 70 bytes.
+    """
+    assert measure_bytes(30_000) <= 255
+
+
+def test_program_prints_writes_and_judges(tmp_path):
+    path = tmp_path / "figures.json"
+    command = [sys.executable, "-m", "benchmarks", "--only", "relays"]
+    command += ["--json", str(path)]
+    done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, check=True)
+    rows = json.loads(path.read_text())
+    names = {"name", "value", "unit", "baseline", "bound", "held", "seed", "command"}
+    assert all(set(row) == names for row in rows)
+    assert all(row["name"] in done.stdout for row in rows)
