--- a/citronspring/daemons/host.py
+++ b/citronspring/daemons/host.py
@@ -13,12 +13,15 @@
 from citronspring.application import Application
 from citronspring.daemons.carrier import Carrier
 from citronspring.daemons.control import ControlChannel, wall_clock
+from citronspring.daemons.prober import Prober
 from citronspring.daemons.reader import PlatformReader
 from citronspring.daemons.sockets import receive_forever
 from citronspring.events import LEAVING, NOT_CONFIGURED, SIGNAL
 from citronspring.logs import log, log_application, write_dump
 from citronspring.messages import (
     LeaveRequested,
+    ProbeResult,
+    ProbeTarget,
     ReadPlatform,
     SendControl,
     Stopped,
@@ -31,6 +34,7 @@
     from anyio.abc import TaskStatus
 
     from citronspring.daemons.reader import ConfigurationSource
+    from citronspring.entities import Endpoint
     from citronspring.messages import Action
     from citronspring.settings import Settings
 
@@ -88,6 +92,7 @@
             self.core, settings, boot_time, clock, perform
         )
         self.reader = PlatformReader(self.core, source, clock, perform)
+        self.prober = Prober(self.find_health_endpoint, self.take_probe_result)
         #: Highest revision that was announced as applied.
         self.revision = 0
         self.application.connect("action", self.take_action)
@@ -105,7 +110,7 @@
         self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
     ) -> None:
         """Serve until the core says the host may stop."""
-        with closing(self.carrier), closing(self.control):
+        with closing(self.carrier), closing(self.control), closing(self.prober):
             await self.serve(task_status)
         self.application.emit("stopped")
 
@@ -120,6 +125,7 @@
             group.start_soon(self.reader.read_on_request)
             group.start_soon(self.reader.watch)
             group.start_soon(self.reader.confirm)
+            group.start_soon(self.prober.run)
             group.start_soon(self.tick_forever)
             await self.wait_for_configuration()
             task_status.started()
@@ -154,11 +160,22 @@
         match action:
             case SendControl():
                 self.control.send(action)
+            case ProbeTarget():
+                self.prober.request(action)
             case ReadPlatform():
                 self.reader.request()
             case Stopped():
                 self.stopping.set()
 
+    def find_health_endpoint(self, target_id: str) -> Endpoint | None:
+        """Return where a target's health endpoint answers, if it has one."""
+        row = self.core.tables.targets.get(target_id)
+        return None if row is None else row.target.health
+
+    def take_probe_result(self, result: ProbeResult) -> None:
+        """Hand what a prober learnt to the core."""
+        self.carrier.perform(self.core.receive(result, self.clock()))
+
     def leave(self) -> None:
         """Start a graceful stop."""
         deadline = self.clock() + self.settings.limits.leave_seconds
