--- a/citronspring/systems/fence.py
+++ b/citronspring/systems/fence.py
@@ -13,7 +13,7 @@
 from citronspring.events import CLOCK_JUMPED, FENCE_LOWERED
 from citronspring.messages import Drop, DropReason, Log, ReadPlatform
 from citronspring.systems.binding import forget
-from citronspring.systems.dissemination import SUSPECT_TIME, present_hosts
+from citronspring.systems.dissemination import present_hosts, suspect_time
 from citronspring.systems.membership import send_ping
 
 if TYPE_CHECKING:
@@ -70,7 +70,7 @@
     tables.membership.probes.clear()
     for row in tables.hosts.values():
         if row.suspect_until > 0.0:
-            row.suspect_until = now + SUSPECT_TIME
+            row.suspect_until = now + suspect_time(tables)
 
 
 def run_fence(tables: Tables, now: float, actions: list[Action]) -> None:
@@ -141,10 +141,7 @@
     tables.fence.sequences.clear()
 
 
-def is_fenced(tables: Tables, actions: list[Action]) -> bool:
-    """Whether a packet that arrives is to be dropped; counts it."""
-    if tables.fence.until is None:
-        return False
+def drop_fenced(tables: Tables, actions: list[Action]) -> None:
+    """Drop a packet that arrives while the fence is up; count it."""
     actions.append(Drop(DropReason.FENCED))
     tables.counters["fence.dropped"] += 1
-    return True
