--- a/citronspring/systems/placement.py
+++ b/citronspring/systems/placement.py
@@ -61,17 +61,21 @@
     return rank_targets(flow, placeable)[:WINDOW]
 
 
-def flows_on(tables: Tables, row: TargetRow) -> float:
-    """Return the open flows of a target over all hosts, as far as known.
+def own_factor(tables: Tables) -> float:
+    """Return how many flows over all hosts one flow of this host stands for.
 
     All owners see the same target as the emptiest. Did each make up the whole
     difference by itself, new flows would herd there until it is the fullest; so
     what peers told counts by a part, and not at all once it is old.
     """
     weight = tables.loads.weight
-    own = row.flows * len(tables.ring.members)
-    told = row.flows * (1 + tables.silent_peers) + row.remote_flows
-    return (1.0 - weight) * own + weight * told
+    hosts = len(tables.ring.members)
+    return (1.0 - weight) * hosts + weight * (1 + tables.silent_peers)
+
+
+def flows_on(tables: Tables, row: TargetRow) -> float:
+    """Return the open flows of a target over all hosts, as far as known."""
+    return row.flows * own_factor(tables) + row.remote_flows * tables.loads.weight
 
 
 def usable(
@@ -143,13 +147,13 @@
     What `flows_on` and `weight_of` say stands here without calls: this loop is a
     fifth of what a new flow costs.
     """
-    hosts = 1 + tables.silent_peers
+    own, told = own_factor(tables), tables.loads.weight
     zone = tables.zone
     best, lightest = candidates[0], float("inf")
     for row in candidates:
-        flows = row.flows * hosts + row.remote_flows + 1.0
+        flows = row.flows * own + row.remote_flows * told + 1.0
         load = flows / row.target.max_connections
-        if row.notes is not None or row.warm_at > now:
+        if row.health.notes is not None or row.warm_at > now:
             load *= weight_of(row, now)
         if load > lightest:
             continue
--- a/tests/test_systems/test_placement.py
+++ b/tests/test_systems/test_placement.py
@@ -6,6 +6,7 @@
 
 from citronspring.entities import Snapshot
 from citronspring.messages import RefusalReason, SnapshotRead
+from citronspring.systems.loads import FRESH_WEIGHT
 from citronspring.systems.placement import (
     ALL_CANDIDATES,
     CANDIDATES,
@@ -36,7 +37,10 @@
     lightest.flows = 2
     assert choose(core, driver.flow_to()) is lightest
     lightest.remote_flows = 5
-    assert choose(core, driver.flow_to()) is not lightest
+    assert choose(core, driver.flow_to()) is lightest
+    for weight in (FRESH_WEIGHT, 1.0):
+        core.tables.loads.weight = weight
+        assert choose(core, driver.flow_to()) is not lightest
 
 
 def test_only_candidates_within_the_window_take_a_flow():
