--- a/citronspring/experiments/faults.py
+++ b/citronspring/experiments/faults.py
@@ -51,6 +51,10 @@
 MOVES_FROM = "bundelpers"
 MOVES_TO = "inzendloket"
 
+#: Client account whose rate of new flows is cut, and flows a second that stay.
+LIMITED_ACCOUNT = "inzendloket"
+LIMITED_RATE = 1.0
+
 #: Seconds between two tries of an operator who moves a server.
 MOVE_INTERVAL = 0.5
 
@@ -92,6 +96,8 @@
             answer_from_elsewhere(run)
         case FaultKind.TARGET_MOVE:
             move_target(run)
+        case FaultKind.LIMIT_CUT:
+            cut_limit(run, fault)
         case FaultKind.ZONE_CUT:
             cut_zone(run, fault)
 
@@ -179,11 +185,13 @@
         change_limits(run, account_id)
 
 
-def put_account(run: Run, operator: Operator, account_id: str) -> PutAccount:
+def put_account(
+    run: Run, operator: Operator, account_id: str, rate: float | None = None
+) -> PutAccount:
     """Return the change that puts an account as it is listed, with other limits."""
     parameters = account_parameters(account_id, 0)
     parameters["targets"] = list(run.listed[account_id])
-    parameters["new_per_second"] = float(run.rng.randint(5_000, 10_000))
+    parameters["new_per_second"] = rate or float(run.rng.randint(5_000, 10_000))
     return operator.put_account(account_id, parameters)
 
 
@@ -194,6 +202,15 @@
     run.submit(change.change_id, operator.commit(change), None)
 
 
+def cut_limit(run: Run, fault: Fault) -> None:
+    """Have an operator cut an account's rate of new flows for a while."""
+    operator = run.make_operator(lambda: True)
+    change = put_account(run, operator, LIMITED_ACCOUNT, LIMITED_RATE)
+    run.submit(change.change_id, operator.commit(change), None)
+    seconds = fault.until - fault.at
+    run.network.after(seconds, lambda: change_limits(run, LIMITED_ACCOUNT))
+
+
 def race_operators(run: Run) -> None:
     """Have two operators change the same account at the same moment."""
     account_id = run.rng.choice(sorted(ACCOUNT_SIZES))
--- a/citronspring/experiments/scenario.py
+++ b/citronspring/experiments/scenario.py
@@ -26,6 +26,7 @@
     STALE_READ = "stale-read"
     ROGUE_TARGET = "rogue-target"
     TARGET_MOVE = "target-move"
+    LIMIT_CUT = "limit-cut"
 
 
 #: Faults of which every pair must meet in some run.
@@ -40,10 +41,16 @@
 )
 
 #: Faults that a run gets besides, up to three of them.
-BESIDES = tuple(kind for kind in FaultKind if kind is not FaultKind.TARGET_MOVE)
+BESIDES = tuple(
+    kind
+    for kind in FaultKind
+    if kind not in (FaultKind.TARGET_MOVE, FaultKind.LIMIT_CUT)
+)
 
-#: Share of runs in which a target moves from one client account to another.
+#: Share of runs in which a target moves from one client account to another, and
+#: of runs in which an operator cuts an account's rate of new flows.
 MOVE_SHARE = 0.3
+LIMIT_SHARE = 0.2
 
 #: Every unordered pair, a kind with itself included: anything may come twice.
 PAIRS = tuple(itertools.combinations_with_replacement(PAIRED, 2))
@@ -96,6 +103,8 @@
             kinds.append((rng.uniform(QUIET_START, duration), kind))
         if rng.random() < MOVE_SHARE:
             kinds.append((QUIET_START, FaultKind.TARGET_MOVE))
+        if rng.random() < LIMIT_SHARE:
+            kinds.append((rng.uniform(QUIET_START, duration), FaultKind.LIMIT_CUT))
         faults = [
             Fault(at, kind, at + rng.uniform(SHORTEST_FAULT, LONGEST_FAULT))
             for at, kind in sorted(kinds, key=lambda item: item[0])
--- a/tests/test_cli/test_errors.py
+++ b/tests/test_cli/test_errors.py
@@ -130,8 +130,6 @@
 
 LASTING = ("serve", "try", "experiment")
 HARMLESS = [item for item in COMMANDS if item.words[0] not in LASTING]
-    item for item in COMMANDS if item.words[0] not in ("serve", "try", "experiment")
-]
 LINES = st.builds(
     lambda command, rest: [*command.words, *rest, NOBODY],
     st.sampled_from(HARMLESS),
--- /dev/null
+++ b/tests/test_experiments/mutants.py
@@ -0,0 +1,189 @@
+"""Safeguards taken out on purpose, each with the promise that it keeps."""
+
+from __future__ import annotations
+
+from citronspring import balancer
+from citronspring.configuration import store
+from citronspring.messages import RST, Packet, RefusalReason, SendToCaller
+from citronspring.standins.network import Network
+from citronspring.systems import (
+    answers,
+    fence,
+    openings,
+    placement,
+    revisions,
+    routing,
+    second_chance,
+    spread,
+)
+
+MUTANTS = {}
+
+
+def mutant(promise, seeds):
+    """Name the promise that breaks without the safeguard, and seeds that show it."""
+
+    def register(function):
+        MUTANTS[function.__name__] = (promise, seeds, function)
+        return function
+
+    return register
+
+
+@mutant("unbroken flows", (0,))
+def no_second_chance(patch):
+    """An owner that does not know a flow resets it."""
+
+    def reset(tables, account, packet, now, actions, **kwargs):
+        flags = (packet.flow, False, RST, packet.ack, 0, 0, b"")
+        actions.append(SendToCaller(Packet(*flags)))
+
+    patch(routing, "begin_walk", reset)
+
+
+@mutant("unbroken flows", (0, 4))
+def reset_without_certainty(patch):
+    """The first candidate's reset is passed on."""
+
+    def pass_on(tables, walk, target, packet, now, actions):
+        del tables.walks[packet.flow]
+        actions.append(SendToCaller(packet))
+
+    patch(second_chance, "reset_during_walk", pass_on)
+
+
+@mutant("unbroken flows", (262,))
+def leaving_targets_are_not_searched(patch):
+    """A flow on a leaving target is not found once its owner is lost."""
+    search = placement.possible_targets
+
+    def only_active(flow, account):
+        found = search(flow, account)
+        return [row for row in found if row.target.leaving_revision is None]
+
+    patch(second_chance, "possible_targets", only_active)
+
+
+@mutant("unbroken flows", (15, 32))
+def second_host_is_always_right(patch):
+    """A binding by hearsay counts as proved, so its target's reset is passed on."""
+
+    def believe(tables, row, packet, now, actions):
+        answers.answer_established(tables, row, packet, now, actions)
+
+    patch(answers, "answer_by_hearsay", believe)
+
+
+@mutant("leaving targets", (1, 7))
+def leaving_targets_take_new_flows(patch):
+    """A drained target stays in the window for new flows."""
+
+    def window(flow, account, now):
+        return placement.rank_targets(flow, account.targets)[: placement.WINDOW]
+
+    patch(placement, "placement_window", window)
+
+
+@mutant("isolated accounts", (0,))
+def targets_of_every_account(patch):
+    """New flows are placed on any account's targets."""
+
+    def window(flow, account, now):
+        everything = [row for other in accounts_seen for row in other.targets]
+        return placement.rank_targets(flow, everything)[: placement.WINDOW]
+
+    accounts_seen = []
+    put = revisions.put_account
+
+    def remember(tables, account, placeable_from):
+        put(tables, account, placeable_from)
+        accounts_seen[:] = list(tables.accounts.values())
+
+    patch(revisions, "put_account", remember)
+    patch(placement, "placement_window", window)
+
+
+@mutant("isolated accounts", (10, 15))
+def addresses_move_unconfirmed(patch):
+    """A server moves to another account before every zone has let it go.
+
+    With the fence gone as well, a host that slept through the change wakes and
+    sends the packets that waited to the server, which is another account's now.
+    """
+    patch(store, "refuse_unconfirmed", lambda releases, confirmed: None)
+    patch(fence, "check_clock", lambda tables, now, actions: None)
+
+
+@mutant("revisions never fall", (10, 14))
+def records_are_taken_as_they_come(patch):
+    """A record that was late or sent twice replaces a newer configuration."""
+
+    def take(tables, records, now):
+        for record in records:
+            if record.account is not None:
+                revisions.put_account(tables, record.account, now)
+            revisions.note_revision(tables, record.revision)
+
+    patch(spread, "accept_records", take)
+
+
+@mutant("changes in force", (10, 15))
+def nothing_spreads(patch):
+    """Only the readers hear of changes."""
+    patch(spread, "push", lambda tables, actions: None)
+    patch(spread, "ask_for_records", lambda *arguments: None)
+
+
+@mutant("whole own answers", (35, 52))
+def any_answer_is_passed_on(patch):
+    """Answers are not held against the flow's account and target."""
+    receive = routing.receive_packet
+
+    def trust(tables, event, now, actions):
+        if event.target_id is not None and event.packet.payload_length:
+            actions.append(SendToCaller(event.packet))
+            return
+        receive(tables, event, now, actions)
+
+    patch(balancer, "receive_packet", trust)
+
+
+def settle_by(patch, act):
+    """Have datagrams that are not answered soon handled by another function."""
+    queue = []
+    expire = openings.expire_openings
+
+    def expire_and_act(tables, now, actions):
+        expire(tables, now, actions)
+        actions.extend(queue)
+        queue.clear()
+
+    def settle(tables, flow, opening, now):
+        reason = RefusalReason.OPENING_TIMEOUT
+        act(tables, flow, opening, reason, now, queue)
+
+    patch(openings, "settle_opening", settle)
+    patch(balancer, "expire_openings", expire_and_act)
+
+
+@mutant("at most once", (0,))
+def datagrams_are_sent_again(patch):
+    """A datagram that is not answered soon goes to another target."""
+    settle_by(patch, openings.retry_opening)
+
+
+@mutant("not run means not run", (0,))
+def slow_datagrams_are_refused(patch):
+    """A datagram that is not answered soon is refused, though it may have run."""
+    settle_by(patch, openings.give_up)
+
+
+@mutant("refused at once", (16, 17))
+def refusals_are_held_back(patch):
+    """A refusal goes out seven seconds late."""
+    refuse = Network.refuse
+
+    def later(self, host_id, action):
+        self.after(7.0, lambda: refuse(self, host_id, action))
+
+    patch(Network, "refuse", later)
