--- a/tests/test_configuration/test_concurrency.py
+++ b/tests/test_configuration/test_concurrency.py
@@ -154,6 +154,8 @@
         self.platform.switches = replace(fault, outage=outage)
         self.advance(operator, change)
         self.platform.switches.outage = outage or fault.outage
+        while fault.outage and not operator.done:
+            self.advance(operator, change)
 
     @rule()
     def prepare_swaps(self):
