Place nothing on a target that only a joining host knows; lose no target that moves

A host that joins read the newest configuration and placed flows on a target added a moment ago; if it died before the others heard of either, the next owner asked all it knew and reset the stream. Such a host now waits with the newest generation of an account's targets, as every other host does. Two targets that traded tunnel addresses, or one that came to another account, were lost to a host that applied both steps at once. Both tests failed first.

--- a/citronspring/systems/revisions.py
+++ b/citronspring/systems/revisions.py
@@ -33,7 +33,7 @@
     for account_id in tables.accounts.keys() - named:
         remove_account(tables, account_id)
     for account in snapshot.accounts:
-        put_account(tables, account, now if first else now + PLACEMENT_DELAY)
+        put_account(tables, account, now, first)
     note_revision(tables, snapshot.revision)
     return True
 
@@ -50,7 +50,7 @@
         if record.account is None:
             remove_account(tables, record.account_id)
         else:
-            put_account(tables, record.account, now + PLACEMENT_DELAY)
+            put_account(tables, record.account, now)
         note_revision(tables, record.revision)
     return True
 
@@ -61,8 +61,16 @@
     tables.me.revision = revision
 
 
-def put_account(tables: Tables, account: Account, placeable_from: float) -> None:
-    """Add or replace a client account, keeping the counts of what stays."""
+def put_account(
+    tables: Tables, account: Account, now: float, first: bool = False
+) -> None:
+    """Add or replace a client account, keeping the counts of what stays.
+
+    Parameters
+    ----------
+    first : bool
+        Whether this host had no configuration before.
+    """
     row = tables.accounts.get(account.account_id)
     if row is None:
         row = AccountRow(account)
@@ -73,38 +81,65 @@
     row.deadlines_renewed_until = -1.0
     for address in account.addresses:
         claim_address(tables, service_key(address), row)
-    put_targets(tables, row, account.targets, placeable_from)
+    put_targets(tables, row, now, first)
 
 
-def put_targets(
-    tables: Tables,
-    row: AccountRow,
-    targets: tuple[Target, ...],
-    placeable_from: float,
-) -> None:
+def put_targets(tables: Tables, row: AccountRow, now: float, first: bool) -> None:
     """Bring the rows of an account's targets in line with its configuration."""
-    named = {target.target_id for target in targets}
+    named = {target.target_id for target in row.account.targets}
     for gone in [old for old in row.targets if old.target.target_id not in named]:
         remove_target(tables, gone)
-    for target in targets:
-        existing = tables.targets.get(target.target_id)
-        if existing is None:
-            existing = TargetRow.from_target(target, row)
-            existing.placeable_from = placeable_from
-            existing.warm_at = placeable_from + RAMP_TIME
-            tables.targets[target.target_id] = existing
-            row.targets.append(existing)
-        tables.targets_by_ip.pop(existing.target.tunnel.ip, None)
-        existing.target = target
-        tables.targets_by_ip[target.tunnel.ip] = target.target_id
+    known_to_all = old_generations(row.account) if first else frozenset()
+    for target in row.account.targets:
+        delay = 0.0 if target.added_revision in known_to_all else PLACEMENT_DELAY
+        put_target(tables, row, target, now + delay)
     row.targets.sort(key=lambda item: item.target.target_id)
 
 
+def old_generations(account: Account) -> frozenset[int]:
+    """Return the revisions whose targets a host that starts may place flows on.
+
+    All but the last, unless it is the only one. A host that joins reads the newest
+    configuration while the others may not have heard of it. If it placed a flow on
+    a target they do not know, and died, the next owner would take it for lost.
+    """
+    revisions = {target.added_revision for target in account.targets}
+    if len(revisions) > 1:
+        revisions.remove(max(revisions))
+    return frozenset(revisions)
+
+
+def put_target(
+    tables: Tables, row: AccountRow, target: Target, placeable_from: float
+) -> None:
+    """Add a target to an account, or replace what is configured of it."""
+    existing = tables.targets.get(target.target_id)
+    if existing is not None and existing.account is not row:
+        # Moved between accounts, and this host learns of both steps at once.
+        remove_target(tables, existing)
+        existing = None
+    if existing is None:
+        existing = TargetRow.from_target(target, row)
+        existing.placeable_from = placeable_from
+        existing.warm_at = placeable_from + RAMP_TIME
+        tables.targets[target.target_id] = existing
+        row.targets.append(existing)
+    forget_tunnel(tables, existing)
+    existing.target = target
+    tables.targets_by_ip[target.tunnel.ip] = target.target_id
+
+
+def forget_tunnel(tables: Tables, row: TargetRow) -> None:
+    """Forget a target's tunnel address, unless another target has it by now."""
+    ip = row.target.tunnel.ip
+    if tables.targets_by_ip.get(ip) == row.target.target_id:
+        del tables.targets_by_ip[ip]
+
+
 def remove_target(tables: Tables, gone: TargetRow) -> None:
     """Forget a target that was removed for good, and the flows bound to it."""
     tables.targets.pop(gone.target.target_id, None)
-    if tables.targets_by_ip.get(gone.target.tunnel.ip) == gone.target.target_id:
-        del tables.targets_by_ip[gone.target.tunnel.ip]
+    forget_tunnel(tables, gone)
     gone.account.targets.remove(gone)
     bound = [flow for flow, row in tables.flows.rows.items() if row.target is gone]
     for flow in bound:
--- a/tests/test_systems/test_placement.py
+++ b/tests/test_systems/test_placement.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from citronspring.entities import Snapshot
@@ -110,3 +112,49 @@
     assert choose(core, flow) is first
     first.flows = 20
     assert choose(core, flow) is second
+
+
+def test_joining_host_waits_with_the_newest_targets(snapshot):
+    """An upload survives the loss of a host that had only just joined.
+
+    A target is added; a host joins, which reads the newest configuration at once,
+    while the others have heard of neither. Were it to place a flow on that target
+    and die, the next owner would ask all targets it knows, hear no from each, and
+    reset the stream. Targets of earlier revisions are known to all.
+    """
+    old = make_account(targets=7)
+    targets = list(make_account(targets=8).targets)
+    targets[7] = driver.replace_revision(targets[7], 5)
+    grown = Snapshot(5, (driver.with_targets(old, targets),))
+    core = driver.make_core(grown)
+    *known, fresh = account_of(core).targets
+    for row in known:
+        row.flows = 10
+    flow = driver.flow_to()
+    assert choose(core, flow, 0.0) in known
+    assert choose(core, flow, PLACEMENT_DELAY) is fresh
+
+
+def test_targets_that_trade_addresses_or_accounts_are_not_lost(snapshot):
+    """A host that slept through two steps of a move applies both at once.
+
+    Two targets trade tunnel addresses, and one moves to another account. Applied
+    one after the other, the second change must not undo what the first has set.
+    """
+    first, second = snapshot.accounts
+    one, two, *rest = first.targets
+    moving = replace(rest.pop(), account_id=second.account_id)
+    traded = [replace(one, tunnel=two.tunnel), replace(two, tunnel=one.tunnel)]
+    accounts = (
+        driver.with_targets(second, [*second.targets, moving]),
+        driver.with_targets(first, [*traded, *rest]),
+    )
+    core = driver.make_core(snapshot)
+    core.receive(SnapshotRead(Snapshot(3, accounts)), 1.0)
+    tables = core.tables
+    assert tables.targets_by_ip[one.tunnel.ip] == two.target_id
+    assert tables.targets_by_ip[two.tunnel.ip] == one.target_id
+    row = tables.targets[moving.target_id]
+    assert row.account is tables.accounts[second.account_id]
+    assert row in row.account.targets
+    assert row not in tables.accounts[first.account_id].targets
