--- a/tests/test_systems/test_placement.py
+++ b/tests/test_systems/test_placement.py
@@ -36,7 +36,6 @@
     lightest = core.tables.targets["bundelpers-4"]
     lightest.flows = 2
     assert choose(core, driver.flow_to()) is lightest
-    core.tables.loads.weight = 1.0
     lightest.remote_flows = 5
     assert choose(core, driver.flow_to()) is lightest
     core.tables.loads.weight = FRESH_WEIGHT
