--- a/citronspring/daemons/carrier.py
+++ b/citronspring/daemons/carrier.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from citronspring.daemons.sockets import bind_udp, send
@@ -152,8 +153,7 @@
                 case Relay():
                     self.send_relay(action)
                 case Refuse():
-                    wait = max(0.0, action.retry_at - self.clock())
-                    text = f"{action.reason.value}; retry after {wait:.1f} s"
+                    text = describe_refusal(action, self.clock())
                     self.send_to_caller(build_refusal(action.packet, text))
                 case ResetTarget():
                     self.send_to_target(action.target_id, build_reset(action.packet))
@@ -198,3 +198,12 @@
         """Return a target's tunnel."""
         row = self.core.tables.targets.get(target_id) if target_id else None
         return None if row is None else row.target.tunnel
+
+
+def describe_refusal(action: Refuse, now: float) -> str:
+    """Return what a refused caller is told.
+
+    Rounded down, the time would have the caller refused again.
+    """
+    wait = math.ceil(max(0.0, action.retry_at - now) * 10) / 10
+    return f"{action.reason.value}; retry after {wait:.1f} s"
