--- /dev/null
+++ b/tests/test_benchmarks/test_health_figures.py
@@ -0,0 +1,10 @@
+"""Regression bounds on what failing targets, a flood and idle accounts cost."""
+
+from __future__ import annotations
+
+from benchmarks.health import failure_rows, flood_row, idle_rows
+
+
+def test_bounds_hold():
+    rows = [*failure_rows(), flood_row(), *idle_rows()]
+    assert [row.name for row in rows if not row.held] == []
