--- a/citronspring/admin/status.py
+++ b/citronspring/admin/status.py
@@ -54,10 +54,10 @@
             {
                 "account_id": row.target.account_id,
                 "target_id": target_id,
-                "seconds_left": wait_of(row.ejected_until, now),
+                "seconds_left": wait_of(row.health.ejected_until, now),
             }
             for target_id, row in sorted(tables.targets.items())
-            if row.ejected_until > now
+            if row.health.ejected_until > now
         ],
     }
 
