--- a/citronspring/systems/revisions.py
+++ b/citronspring/systems/revisions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from citronspring.rendezvous import service_key
@@ -23,6 +24,14 @@
 PLACEMENT_DELAY = 4.0
 
 
+@dataclass(frozen=True, slots=True)
+class StartTimes:
+    """When a new target takes its first flows, and its whole share."""
+
+    placeable_from: float
+    warm_at: float
+
+
 def apply_snapshot(tables: Tables, snapshot: Snapshot, now: float) -> bool:
     """Take a whole configuration if it is newer; return whether it was."""
     if snapshot.revision <= tables.revision:
@@ -90,9 +99,14 @@
     for gone in [old for old in row.targets if old.target.target_id not in named]:
         remove_target(tables, gone)
     known_to_all = old_generations(row.account) if first else frozenset()
+    # Shared by the targets: a float of its own for each would cost an idle
+    # account more than its row.
+    at_once = StartTimes(now, now + RAMP_TIME)
+    later = now + PLACEMENT_DELAY
+    delayed = StartTimes(later, later + RAMP_TIME)
     for target in row.account.targets:
-        delay = 0.0 if target.added_revision in known_to_all else PLACEMENT_DELAY
-        put_target(tables, row, target, now + delay)
+        known = target.added_revision in known_to_all
+        put_target(tables, row, target, at_once if known else delayed)
     row.targets.sort(key=lambda item: item.target.target_id)
 
 
@@ -110,7 +124,7 @@
 
 
 def put_target(
-    tables: Tables, row: AccountRow, target: Target, placeable_from: float
+    tables: Tables, row: AccountRow, target: Target, times: StartTimes
 ) -> None:
     """Add a target to an account, or replace what is configured of it."""
     existing = tables.targets.get(target.target_id)
@@ -120,8 +134,8 @@
         existing = None
     if existing is None:
         existing = TargetRow.from_target(target, row)
-        existing.placeable_from = placeable_from
-        existing.warm_at = placeable_from + RAMP_TIME
+        existing.placeable_from = times.placeable_from
+        existing.warm_at = times.warm_at
         tables.targets[target.target_id] = existing
         row.targets.append(existing)
     forget_tunnel(tables, existing)
--- a/tests/test_experiments/mutants.py
+++ b/tests/test_experiments/mutants.py
@@ -95,8 +95,8 @@
     accounts_seen = []
     put = revisions.put_account
 
-    def remember(tables, account, placeable_from):
-        put(tables, account, placeable_from)
+    def remember(tables, *arguments):
+        put(tables, *arguments)
         accounts_seen[:] = list(tables.accounts.values())
 
     patch(revisions, "put_account", remember)
