--- /dev/null
+++ b/benchmarks/footprint.py
@@ -0,0 +1,141 @@
+"""A host at the size to design for: memory of a process, processor time of control."""
+
+from __future__ import annotations
+
+import json
+import resource
+import subprocess
+import sys
+import time
+
+from benchmarks.gossip import EPOCH, KEY, Fleet
+from benchmarks.result import Result
+from citronspring.balancer import Balancer
+from citronspring.control.envelope import Opener, Sealer
+from citronspring.control.messages import Ping
+from citronspring.daemons.host import HostDaemon
+from citronspring.entities import (
+    Account,
+    Endpoint,
+    Host,
+    Protocol,
+    ServiceAddress,
+    Snapshot,
+    Target,
+)
+from citronspring.messages import SYN, Packet, PacketReceived, SnapshotRead
+from citronspring.rendezvous import flow_key
+
+COMMAND = "python -m benchmarks --only footprint"
+
+#: The size to design for: client accounts with one address each, their targets, and
+#: rows of flows on one host: 30 million over 3,400 hosts, the copies it holds for
+#: others for 30 s and the closed ones it pins for 60 s at 59 new flows a second.
+ACCOUNTS = 2_900
+TARGETS = 28_000
+FLOWS = 14_100
+
+#: Most memory of a process, MB, and most of a core that control may take.
+MEMORY_BOUND = 256.0
+CONTROL_BOUND = 0.031
+
+#: Hosts of the fleet whose control is timed, and virtual seconds of it.
+FLEET_SIZE = 300
+SETTLING = 2.0
+TIMED = 5.0
+SEED = 11
+
+#: Messages sealed and opened to time one.
+MESSAGES = 2_000
+
+
+def make_snapshot() -> Snapshot:
+    """Return the configuration at the size to design for."""
+    per_account, more = divmod(TARGETS, ACCOUNTS)
+    accounts = []
+    number = 0
+    for index in range(ACCOUNTS):
+        count = per_account + (index < more)
+        targets = tuple(make_target(index, number + item) for item in range(count))
+        number += count
+        ip = f"10.0.{index // 250}.{index % 250 + 1}"
+        address = ServiceAddress(ip, 443, Protocol.TCP)
+        accounts.append(Account(f"account-{index}", (address,), targets, ("zone",)))
+    return Snapshot(1, tuple(accounts))
+
+
+def make_target(account: int, number: int) -> Target:
+    """Return one target."""
+    ip = f"10.{1 + number // 62_500}.{number // 250 % 250}.{number % 250 + 1}"
+    tunnel = Endpoint(ip, 6080)
+    return Target(f"target-{number}", f"account-{account}", tunnel, "zone")
+
+
+def fill_host() -> dict[str, float]:
+    """Fill a core in this process; return its memory and the time to configure."""
+    sockets = [Endpoint("127.0.0.1", port) for port in (1, 2, 3)]
+    core = Balancer.from_config(Host("host", "zone", "group", *sockets))
+    before = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+    started_at = time.process_time()
+    core.receive(SnapshotRead(make_snapshot()), 0.0)
+    seconds = time.process_time() - started_at
+    for number in range(FLOWS):
+        index = number % ACCOUNTS
+        ip = f"10.0.{index // 250}.{index % 250 + 1}"
+        flow = flow_key(Protocol.TCP, ip, 443, "198.51.100.1", 1024 + number)
+        core.receive(PacketReceived(Packet(flow, True, SYN, 0, 0, 0, b"")), 10.0)
+    after = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+    return {"before": before / 1024, "after": after / 1024, "seconds": seconds}
+
+
+def control_share() -> float:
+    """Return the share of a core that control takes on a host of a large fleet.
+
+    The in-memory network is counted in, which a real host does not run.
+    """
+    fleet = Fleet.of(FLEET_SIZE, 0.0, SEED)
+    fleet.run(SETTLING)
+    started_at = time.process_time()
+    fleet.run(TIMED)
+    return (time.process_time() - started_at) / TIMED / FLEET_SIZE
+
+
+def opening_time() -> float:
+    """Return the seconds it takes to seal and open one message."""
+    sealer = Sealer("host-1", KEY, EPOCH)
+    opener = Opener("host-0", (KEY,))
+    started_at = time.process_time()
+    for number in range(MESSAGES):
+        opener.open(sealer.seal(Ping(number, 1), "host-0", EPOCH), EPOCH)
+    return (time.process_time() - started_at) / MESSAGES
+
+
+def run() -> list[Result]:
+    """Return the figures of one host."""
+    child = [sys.executable, "-m", "benchmarks.footprint"]
+    output = subprocess.run(child, check=True, capture_output=True, text=True).stdout
+    filled = json.loads(output)
+    memory, share = filled["after"], control_share()
+    return [
+        Result.at_most(
+            "footprint.process", memory, "MB", MEMORY_BOUND, command=COMMAND
+        ),
+        Result("footprint.imports", filled["before"], "MB", command=COMMAND),
+        Result("footprint.configure", filled["seconds"], "s", command=COMMAND),
+        Result.at_most(
+            "footprint.control_300_hosts",
+            share,
+            "of a core",
+            CONTROL_BOUND,
+            seed=SEED,
+            command=COMMAND,
+        ),
+        Result("footprint.message", opening_time() * 1e6, "us", command=COMMAND),
+    ]
+
+
+#: The daemon, imported so that its libraries count in the memory of a process.
+DAEMON = HostDaemon
+
+if __name__ == "__main__":
+    print(json.dumps(fill_host()))
--- a/citronspring/cli/main.py
+++ b/citronspring/cli/main.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from citronspring import __version__
-from citronspring.cli import changes, experiment, serve, views
+from citronspring.cli import changes, experiment, serve, standin, views
 from citronspring.cli.commands import (
     HELP_FLAGS,
     Command,
@@ -56,6 +56,7 @@
     ),
     *experiment.COMMANDS,
     *serve.COMMANDS,
+    *standin.COMMANDS,
     *changes.COMMANDS,
     *views.COMMANDS,
     Command(("version",), (), version, "Print the version."),
