--- a/citronspring/balancer.py
+++ b/citronspring/balancer.py
@@ -22,6 +22,7 @@
 from citronspring.systems.drain import check_leaving, request_leave
 from citronspring.systems.expiry import expire_flows, expire_hints
 from citronspring.systems.fence import (
+    JUMP,
     check_clock,
     drop_fenced,
     hear_platform,
@@ -122,7 +123,9 @@
         """
         actions: list[Action] = []
         tables = self.tables
-        check_clock(tables, now, actions)
+        ticked_at = tables.fence.ticked_at
+        if ticked_at is not None and now - ticked_at >= JUMP:
+            check_clock(tables, now, actions)
         if tables.fence.until is not None and isinstance(event, PACKET_EVENTS):
             drop_fenced(tables, actions)
             return actions
--- a/citronspring/daemons/carrier.py
+++ b/citronspring/daemons/carrier.py
@@ -64,6 +64,8 @@
         self.core = core
         self.application = application
         self.clock = clock
+        #: Time of the current batch: read once, not for each packet.
+        self.now = clock()
         self.gateway = settings.fabric.gateway
         self.fabric_ips = {self.gateway.ip, *settings.fabric.sources}
         self.tunnel = bind_udp(settings.host.tunnel)
@@ -85,6 +87,10 @@
         self.tunnel.close()
         self.relay.close()
 
+    def begin_batch(self) -> None:
+        """Take the time for the datagrams that have arrived."""
+        self.now = self.clock()
+
     def receive_tunnelled(self, datagram: bytes, source: Source) -> None:
         """Handle a datagram from the fabric or from a target's tunnel."""
         from_fabric = source[0] in self.fabric_ips
@@ -100,7 +106,7 @@
             self.drop(error.message)
             return
         event = PacketReceived(packet, target_id)
-        self.perform(self.core.receive(event, self.clock()))
+        self.perform(self.core.receive(event, self.now))
 
     def receive_relayed(self, datagram: bytes, source: Source) -> None:
         """Handle a datagram from another host."""
@@ -121,7 +127,7 @@
             self.target_at(frame.source),
             self.target_at(frame.target),
         )
-        self.perform(self.core.receive(event, self.clock()))
+        self.perform(self.core.receive(event, self.now))
 
     def peer_at(self, source: Source) -> str | None:
         """Return the host whose relay socket a datagram came from."""
--- a/citronspring/daemons/host.py
+++ b/citronspring/daemons/host.py
@@ -118,8 +118,12 @@
         """Run every part of the host until it may stop."""
         async with anyio.create_task_group() as group:
             carrier = self.carrier
-            group.start_soon(receive_forever, carrier.tunnel, carrier.receive_tunnelled)
-            group.start_soon(receive_forever, carrier.relay, carrier.receive_relayed)
+            begin = carrier.begin_batch
+            for sock, handle in (
+                (carrier.tunnel, carrier.receive_tunnelled),
+                (carrier.relay, carrier.receive_relayed),
+            ):
+                group.start_soon(receive_forever, sock, handle, begin)
             control = self.control
             group.start_soon(receive_forever, control.socket, control.receive)
             group.start_soon(self.reader.read_on_request)
--- a/citronspring/daemons/sockets.py
+++ b/citronspring/daemons/sockets.py
@@ -42,12 +42,29 @@
     return sock
 
 
+def begin_nothing() -> None:
+    """Stand for a handler that needs no notice of a batch."""
+
+
 async def receive_forever(
-    sock: socket.socket, handle: Callable[[bytes, Source], None]
+    sock: socket.socket,
+    handle: Callable[[bytes, Source], None],
+    begin: Callable[[], None] = begin_nothing,
 ) -> None:
-    """Give every datagram to a handler, in batches."""
+    """Give every datagram to a handler, in batches.
+
+    Parameters
+    ----------
+    sock : socket
+        A non-blocking UDP socket.
+    handle : callable
+        Called with each datagram and its source.
+    begin : callable
+        Called before each batch.
+    """
     while True:
         await anyio.wait_readable(sock)
+        begin()
         receive_batch(sock, handle)
 
 
--- a/citronspring/systems/routing.py
+++ b/citronspring/systems/routing.py
@@ -60,6 +60,10 @@
     from citronspring.tables import AccountRow, FlowRow, Tables, TargetRow
 
 
+#: States in which a caller's packets simply go to the bound target.
+SETTLED_STATES = frozenset((FlowState.ESTABLISHED, FlowState.UNPROVEN))
+
+
 def receive_packet(
     tables: Tables, event: PacketReceived, now: float, actions: list[Action]
 ) -> None:
@@ -169,7 +173,7 @@
         forward_datagram(tables, row, packet, now, actions)
     elif packet.flags & SYN and begins_anew(tables, row, packet):
         reopen(tables, row, packet, now, actions)
-    elif state == FlowState.ESTABLISHED or state == FlowState.UNPROVEN:
+    elif state in SETTLED_STATES:
         account = row.target.account
         if now >= account.deadlines_renewed_until:
             account.renew_deadlines(now)
