--- a/citronspring/experiments/run.py
+++ b/citronspring/experiments/run.py
@@ -337,6 +337,10 @@
             self.network.after(delay, lambda fault=fault: apply_fault(self, fault))
         self.network.run_until(begin + 2.0)
         self.workload.arrive(end, self.scenario.arrivals)
+        return self.finish(end)
+
+    def finish(self, end: float) -> History:
+        """Let traffic go on until its end, then wait for the last requests."""
         self.network.run_until(end)
         limit = end + SETTLE
         while self.workload.unfinished and self.network.now < limit:
