--- a/citronspring/standins/caller.py
+++ b/citronspring/standins/caller.py
@@ -2,23 +2,20 @@
 
 from __future__ import annotations
 
-from contextlib import closing
 from typing import TYPE_CHECKING
 
 import anyio
 
-from citronspring.daemons.sockets import bind_udp, receive_forever, send
+from citronspring.daemons.sockets import send
 from citronspring.errors import MalformedPacketError
 from citronspring.packets import decode_packet
 from citronspring.rendezvous import flow_key
+from citronspring.standins.ends import SocketEnd, encode, segment_of
 from citronspring.standins.stacks import CallerStack
-from citronspring.standins.target import TICK, encode, segment_of
 
 if TYPE_CHECKING:
     import random
 
-    from anyio.abc import TaskStatus
-
     from citronspring.daemons.sockets import Source
     from citronspring.entities import Endpoint, FlowKey, ServiceAddress
     from citronspring.standins.service import CallerSession, Request
@@ -29,7 +26,7 @@
 FIRST_PORT = 1024
 
 
-class Caller:
+class Caller(SocketEnd):
     """Callers behind one socket to the fabric.
 
     Parameters
@@ -43,25 +40,11 @@
     """
 
     def __init__(self, local: Endpoint, access: Endpoint, rng: random.Random) -> None:
-        self.sock = bind_udp(local)
+        super().__init__(local)
         self.access = access
         self.stack = CallerStack(rng)
         self.next_port = FIRST_PORT
 
-    async def run(
-        self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
-    ) -> None:
-        """Carry segments until cancelled."""
-        with closing(self):
-            async with anyio.create_task_group() as group:
-                group.start_soon(receive_forever, self.sock, self.receive)
-                group.start_soon(self.tick_forever)
-                task_status.started()
-
-    def close(self) -> None:
-        """Close the socket."""
-        self.sock.close()
-
     def open(self, address: ServiceAddress, request: Request) -> CallerSession:
         """Start a request on a new connection; return its session."""
         flow = self.new_flow(address)
@@ -83,11 +66,9 @@
         now = anyio.current_time()
         self.send(self.stack.receive(packet.flow, segment_of(packet), now))
 
-    async def tick_forever(self) -> None:
-        """Run timers and paced bodies."""
-        while True:
-            self.send(self.stack.tick(anyio.current_time()))
-            await anyio.sleep(TICK)
+    def tick(self) -> None:
+        """Run timers and paced bodies once."""
+        self.send(self.stack.tick(anyio.current_time()))
 
     def send(self, outgoing: list[Outgoing]) -> None:
         """Hand segments to the fabric."""
--- a/citronspring/standins/target.py
+++ b/citronspring/standins/target.py
@@ -2,47 +2,28 @@
 
 from __future__ import annotations
 
-from contextlib import closing
 from typing import TYPE_CHECKING
 
 import anyio
 
-from citronspring.daemons.sockets import bind_udp, receive_forever, send
+from citronspring.daemons.sockets import send
 from citronspring.errors import MalformedPacketError
-from citronspring.messages import Packet
-from citronspring.packets import decapsulate, decode_packet, encapsulate, encode_tcp
+from citronspring.packets import decapsulate, decode_packet, encapsulate
+from citronspring.standins.ends import SocketEnd, encode, segment_of
 from citronspring.standins.stacks import TargetStack
-from citronspring.standins.tcp import Segment
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Callable
 
-    from anyio.abc import TaskStatus
-
     from citronspring.daemons.sockets import Source
     from citronspring.entities import Endpoint, ServiceAddress
+    from citronspring.messages import Packet
     from citronspring.standins.service import Request
     from citronspring.standins.stacks import Outgoing
 
-#: Seconds between two ticks of a stand-in's timers.
-TICK = 0.02
-
-
-def segment_of(packet: Packet) -> Segment:
-    """Return the TCP segment inside a packet from the wire."""
-    payload = packet.data[len(packet.data) - packet.payload_length :]
-    return Segment(packet.flags, packet.seq, packet.ack, payload)
-
-
-def encode(outgoing: Outgoing, from_caller: bool) -> bytes:
-    """Return the IPv4 packet of a segment to send."""
-    flow, segment = outgoing
-    fields = (segment.flags, segment.seq, segment.ack, segment.payload)
-    return encode_tcp(flow, from_caller, *fields)
 
-
-class TargetServer:
+class TargetServer(SocketEnd):
     """A target that accepts flows to its client account's addresses only.
 
     Parameters
@@ -67,27 +48,13 @@
         rng: random.Random,
         on_run: Callable[[Request], None],
     ) -> None:
-        self.sock = bind_udp(tunnel)
+        super().__init__(tunnel)
         self.ports = {(item.ip, item.port) for item in addresses}
         self.pick_host = pick_host
         self.stack = TargetStack(rng, on_run)
         #: Packets for a service address that is not its account's.
         self.foreign = 0
 
-    async def run(
-        self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
-    ) -> None:
-        """Serve until cancelled."""
-        with closing(self):
-            async with anyio.create_task_group() as group:
-                group.start_soon(receive_forever, self.sock, self.receive)
-                group.start_soon(self.tick_forever)
-                task_status.started()
-
-    def close(self) -> None:
-        """Close the socket."""
-        self.sock.close()
-
     def receive(self, datagram: bytes, source: Source) -> None:
         """Handle a tunnelled packet."""
         try:
@@ -105,11 +72,9 @@
         ip = ".".join(str(part) for part in packet.flow[1:5])
         return (ip, int.from_bytes(packet.flow[5:7], "big")) in self.ports
 
-    async def tick_forever(self) -> None:
-        """Run timers and streams."""
-        while True:
-            self.answer(self.stack.tick(anyio.current_time()))
-            await anyio.sleep(TICK)
+    def tick(self) -> None:
+        """Run timers and streams once."""
+        self.answer(self.stack.tick(anyio.current_time()))
 
     def answer(self, outgoing: list[Outgoing]) -> None:
         """Send segments through the tunnel towards any host."""
