Never reset a target of an opening

Ruled out: a reset deeper in the window, which spares established connections only. The reset was to keep a late SYN from opening after the refusal; the refused caller's stack does that, and nothing runs before it confirms. The test of silent targets expected the resets; it now expects that there are none, and a new one that a refused caller ends a late answer itself. The test of the reset's number goes with the function.

--- a/citronspring/daemons/carrier.py
+++ b/citronspring/daemons/carrier.py
@@ -13,14 +13,12 @@
     Refuse,
     Relay,
     RelayReceived,
-    ResetTarget,
     SendToCaller,
     SendToTarget,
 )
 from citronspring.packets import (
     RelayFrame,
     build_refusal,
-    build_reset,
     decapsulate,
     decode_packet,
     decode_relay,
@@ -161,8 +159,6 @@
                 case Refuse():
                     text = describe_refusal(action, self.clock())
                     self.send_to_caller(build_refusal(action.packet, text))
-                case ResetTarget():
-                    self.send_to_target(action.target_id, build_reset(action.packet))
                 case Drop():
                     self.drop(action.reason.value)
                 case _:
--- a/citronspring/messages.py
+++ b/citronspring/messages.py
@@ -230,14 +230,6 @@
     retry_at: float
 
 
-@dataclass(slots=True)
-class ResetTarget:
-    """End a half-open flow at a target, made from the opening packet."""
-
-    target_id: str
-    packet: Packet
-
-
 @dataclass(slots=True)
 class Drop:
     """Count a packet that goes nowhere."""
@@ -285,7 +277,6 @@
     | SendToCaller
     | Relay
     | Refuse
-    | ResetTarget
     | Drop
     | SendControl
     | ProbeTarget
--- a/citronspring/packets.py
+++ b/citronspring/packets.py
@@ -53,10 +53,6 @@
 ICMP_ADMIN_PROHIBITED = 13
 FRAGMENT_MASK = 0x3FFF
 
-#: How far beyond the SYN a reset of an opening lies: within any target's window, and
-#: hardly ever just what a caller has sent.
-RESET_OFFSET = 2047
-
 
 def malformed(kind: str) -> MalformedPacketError:
     """Return the error for a packet that is dropped and counted under a kind."""
@@ -259,22 +255,6 @@
     return build_ip(PROTOCOL_ICMP, service, caller, body)
 
 
-def reset_seq(opening: Packet) -> int:
-    """Return the number of a reset that ends a half-open flow, and no other.
-
-    A host whose view lags may reset an opening that another host has completed at
-    the same target. An exact number would cut that connection. One further into
-    the window does not: an open connection only challenges it (RFC 9293, 3.10.7.4),
-    while a half-open one is dropped, or at worst runs out by itself.
-    """
-    return (opening.seq + RESET_OFFSET) & 0xFFFFFFFF
-
-
-def build_reset(opening: Packet) -> bytes:
-    """Build the reset that ends a half-open flow at a target."""
-    return encode_tcp(opening.flow, True, RST, reset_seq(opening), 0, b"")
-
-
 def pack_endpoint(endpoint: Endpoint | None) -> tuple[bytes, int]:
     """Return address and port of a tunnel; zeros for none."""
     if endpoint is None:
--- a/citronspring/standins/tcp.py
+++ b/citronspring/standins/tcp.py
@@ -162,8 +162,16 @@
             case State.ESTABLISHED:
                 self.receive_established(segment, now)
             case State.CLOSED:
-                if segment.flags & FIN and not segment.flags & RST:
-                    self.emit(ACK, self.next_seq)
+                self.receive_closed(segment)
+
+    def receive_closed(self, segment: Segment) -> None:
+        """Reset the late answer to a refused opening; acknowledge a FIN again."""
+        if segment.flags & RST:
+            return
+        if self.ending is Ending.REFUSED and segment.flags & ACK:
+            self.emit(RST, segment.ack)
+        elif segment.flags & FIN:
+            self.emit(ACK, self.next_seq)
 
     def receive_in_syn_sent(self, segment: Segment, now: float) -> None:
         """Wait for the SYN-ACK, or the refusal, of our SYN."""
--- a/citronspring/systems/openings.py
+++ b/citronspring/systems/openings.py
@@ -10,7 +10,6 @@
     Refuse,
     Relay,
     RelayKind,
-    ResetTarget,
     SendToCaller,
     SendToTarget,
 )
@@ -165,11 +164,9 @@
 ) -> None:
     """Refuse an opening that no target took; nothing of its data was sent on.
 
-    Every target that did not answer gets a reset first: a SYN that was only late
-    would otherwise open there after the caller was told that it did not.
+    A SYN that was only late may still open at a target. It runs nothing there: the
+    refused caller's own stack resets the late answer.
     """
-    for row in opening.silent:
-        actions.append(ResetTarget(row.target.target_id, opening.packet))
     retry_at = refused_until(opening.account, reason, now)
     forget(tables, flow)
     actions.append(refuse(tables, opening.packet, reason, retry_at))
@@ -241,13 +238,11 @@
 ) -> None:
     """Leave a target that did not answer a SYN.
 
-    It gets no reset yet. Its answer may have reached the caller through a host
-    with another view, and a reset would end a connection that the caller holds
-    open; the caller's next packet tells which target it took.
+    It gets no reset. Its answer may have reached the caller through a host with
+    another view, and a reset would end a connection that the caller holds open;
+    the caller's next packet tells which target it took.
     """
-    current = opening.tried[-1]
-    note_failure(tables, current, now)
-    opening.silent.append(current)
+    note_failure(tables, opening.tried[-1], now)
     reason = RefusalReason.OPENING_TIMEOUT
     if opening.deadline <= now:
         give_up(tables, flow, opening, reason, now, actions)
--- a/citronspring/tables.py
+++ b/citronspring/tables.py
@@ -155,8 +155,6 @@
     deadline: float
     #: Initial sequence number of the target's answer; None before it.
     answer_seq: int | None = None
-    #: Targets that were left because they did not answer.
-    silent: list[TargetRow] = field(default_factory=list)
     #: Packets of the flow sent to the current target.
     sent: int = 1
 
