--- a/citronspring/control/envelope.py
+++ b/citronspring/control/envelope.py
@@ -26,9 +26,6 @@
 DIGEST_SIZE = 16
 HEADER_SIZE = len(VERSION) + DIGEST_SIZE
 
-#: Bytes that fit every path without fragments; parts are cut to stay below.
-TARGET_DATAGRAM = 1200
-
 #: Bytes above which a datagram is neither sent nor read.
 MAX_DATAGRAM = 8192
 
--- a/citronspring/messages.py
+++ b/citronspring/messages.py
@@ -189,7 +189,6 @@
     UNCERTAIN = "uncertain"
     WALK_FULL = "walk-full"
     NO_OWNER = "no-owner"
-    DUPLICATE = "duplicate"
     FENCED = "fenced"
 
 
--- a/citronspring/packets.py
+++ b/citronspring/packets.py
@@ -17,9 +17,6 @@
 from citronspring.errors import MalformedPacketError
 from citronspring.messages import ACK, RST, SYN, Packet, RelayKind
 
-#: UDP port that Generic UDP Encapsulation is assigned.
-GUE_PORT = 6080
-
 #: Largest datagram a tunnel socket takes.
 MAX_DATAGRAM = 65535
 
--- a/citronspring/rendezvous.py
+++ b/citronspring/rendezvous.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from citronspring.entities import Protocol, ServiceAddress
+    from citronspring.entities import ServiceAddress
 
 #: Ownership is decided for this many slots of the hash space, so that the owner
 #: of a flow costs one hash instead of one a host.
@@ -50,22 +50,6 @@
     return ServiceKey(bytes([address.protocol]) + packed + port)
 
 
-def describe_flow(flow: FlowKey) -> str:
-    """Return a flow key as text, for logs and dumps."""
-    width = 4 if len(flow) == FLOW_KEY_LENGTH_V4 else 16
-    service = ipaddress.ip_address(flow[1 : 1 + width])
-    service_port = int.from_bytes(flow[1 + width : 3 + width], "big")
-    caller = ipaddress.ip_address(flow[3 + width : 3 + 2 * width])
-    caller_port = int.from_bytes(flow[3 + 2 * width :], "big")
-    protocol = "udp" if flow[0] == 17 else "tcp"
-    return f"{protocol} {caller}:{caller_port} > {service}:{service_port}"
-
-
-def protocol_of(flow: FlowKey) -> Protocol:
-    """Return the IP protocol number of a flow."""
-    return flow[0]  # type: ignore[return-value]
-
-
 def seed_of(identity: str) -> int:
     """Return the hash seed that stands for a host or target."""
     return xxh64_intdigest(identity.encode())
