--- a/citronspring/daemons/carrier.py
+++ b/citronspring/daemons/carrier.py
@@ -5,7 +5,7 @@
 import math
 from typing import TYPE_CHECKING
 
-from citronspring.daemons.sockets import bind_udp, send
+from citronspring.daemons.sockets import bind_udp, kernel_drops, send
 from citronspring.errors import MalformedPacketError
 from citronspring.messages import (
     Drop,
@@ -127,6 +127,11 @@
         )
         self.perform(self.core.receive(event, self.now))
 
+    def count_kernel_drops(self) -> None:
+        """Count datagrams that arrived faster than this process read them."""
+        drops = kernel_drops(self.tunnel) + kernel_drops(self.relay)
+        self.core.tables.counters["dropped.kernel"] = drops
+
     def peer_at(self, source: Source) -> str | None:
         """Return the host whose relay socket a datagram came from."""
         for host_id, row in self.core.tables.hosts.items():
--- a/citronspring/daemons/host.py
+++ b/citronspring/daemons/host.py
@@ -150,6 +150,7 @@
         while True:
             self.carrier.perform(self.core.tick(self.clock()))
             self.control.flush()
+            self.carrier.count_kernel_drops()
             self.announce_revision()
             await anyio.sleep(TICK)
 
--- a/citronspring/daemons/sockets.py
+++ b/citronspring/daemons/sockets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import struct
 from typing import TYPE_CHECKING
 
 import anyio
@@ -22,6 +23,11 @@
 #: Kernel buffer asked for, bytes; holds a burst while another task runs.
 RECEIVE_BUFFER = 8 * 1024 * 1024
 
+#: Socket option that tells a socket's memory and drops (Linux, linux/sock_diag.h):
+#: nine numbers of 32 bits, the last of them the datagrams that found no room.
+SO_MEMINFO = 55
+MEMINFO = struct.Struct("=9I")
+
 #: An outer source address and port.
 Source = tuple[str, int]
 
@@ -85,3 +91,10 @@
     except OSError:
         return False
     return True
+
+
+def kernel_drops(sock: socket.socket) -> int:
+    """Return how many datagrams the kernel dropped because the buffer was full."""
+    raw = sock.getsockopt(socket.SOL_SOCKET, SO_MEMINFO, MEMINFO.size)
+    drops: int = MEMINFO.unpack(raw)[-1]
+    return drops
