Say once what stood twice: forgetting closed connections, the account of a flow, TCP

The stand-in kernels each forgot connections, answered unknown flows and took outboxes in their own copy; the faults and the run each read the account out of a flow key; openings named the TCP protocol number beside binding. Left as they are: pairs alike only in shape (messages, history entries, events), generated code, and the docstrings of two constructors.

--- a/citronspring/experiments/faults.py
+++ b/citronspring/experiments/faults.py
@@ -11,6 +11,7 @@
 from citronspring.experiments.coroutines import pause, start
 from citronspring.experiments.history import ChangeRefused, Disturbed
 from citronspring.experiments.scenario import FaultKind
+from citronspring.experiments.workload import account_of
 from citronspring.messages import ACK, LeaveRequested
 from citronspring.standins.system import (
     ACCOUNT_SIZES,
@@ -26,9 +27,6 @@
     from citronspring.experiments.scenario import Fault
     from citronspring.standins.system import Operator
 
-#: Place in a flow key of the last byte of the service address.
-SERVICE_INDEX = 4
-
 #: Seconds a leaving host serves what is in flight.
 LEAVE_TIME = 20.0
 
@@ -233,7 +231,7 @@
     """Have a target answer flows of another client account, in their numbers."""
     rogue = active_targets(run, "inzendloket")[0]
     for flow, connection in list(run.network.callers.connections.items()):
-        if flow[SERVICE_INDEX] == 1 and connection.state is State.ESTABLISHED:
+        if account_of(flow) == MOVES_FROM and connection.state is State.ESTABLISHED:
             bytes_of_others = Segment(
                 ACK, connection.expected, connection.next_seq, b"x" * ROGUE_BYTES
             )
--- a/citronspring/experiments/run.py
+++ b/citronspring/experiments/run.py
@@ -27,7 +27,7 @@
     RevisionSeen,
     WorkAccepted,
 )
-from citronspring.experiments.workload import Workload
+from citronspring.experiments.workload import Workload, account_of
 from citronspring.messages import (
     ReadPlatform,
     RecordsRead,
@@ -35,7 +35,6 @@
     SnapshotRead,
 )
 from citronspring.platform.memory import MemoryPlatform
-from citronspring.rendezvous import service_key_of
 from citronspring.standins.network import LinkQuality, Network
 from citronspring.standins.system import (
     ACCOUNT_SIZES,
@@ -53,9 +52,6 @@
     from citronspring.messages import Action
     from citronspring.standins.service import Request
 
-#: Place in a service key of the last byte of the address, which tells accounts apart.
-SERVICE_INDEX = 4
-
 #: Where the platform is, for cuts.
 PLATFORM = "platform"
 
@@ -259,8 +255,7 @@
         row = core.tables.targets.get(action.target_id)
         if row is None:
             return
-        key = service_key_of(action.packet.flow)
-        account_id = list(ACCOUNT_SIZES)[key[SERVICE_INDEX] - 1]
+        account_id = account_of(action.packet.flow)
         if account_id not in self.servers[row.target.tunnel.ip]:
             entry = ForeignPacket(
                 self.network.now, account_id, action.target_id, host_id
--- a/citronspring/experiments/workload.py
+++ b/citronspring/experiments/workload.py
@@ -10,6 +10,7 @@
 from citronspring.experiments.history import RequestEnded, RequestOpened
 from citronspring.rendezvous import flow_key
 from citronspring.standins.service import Outcome, Request, RequestKind
+from citronspring.standins.system import ACCOUNT_SIZES
 
 if TYPE_CHECKING:
     from citronspring.entities import FlowKey
@@ -26,6 +27,9 @@
 LARGEST = 16_000
 RATE = 2_000.0
 
+#: Place in a flow key of the last byte of the service address, which tells accounts.
+SERVICE_INDEX = 4
+
 #: Share of requests that go in one datagram.
 DATAGRAM_SHARE = 0.2
 
@@ -34,6 +38,11 @@
 LONG_SIZE = 30_000
 
 
+def account_of(flow: FlowKey) -> str:
+    """Return the client account whose service address a flow has."""
+    return list(ACCOUNT_SIZES)[flow[SERVICE_INDEX] - 1]
+
+
 @dataclass(slots=True)
 class Workload:
     """Opens requests and notes how they end."""
--- a/citronspring/standins/stacks.py
+++ b/citronspring/standins/stacks.py
@@ -26,6 +26,26 @@
 Outgoing = tuple["FlowKey", Segment]
 
 
+def answer_unknown(flow: FlowKey, segment: Segment) -> list[Outgoing]:
+    """Return the answer to a segment of no known connection."""
+    if segment.flags & RST:
+        return []
+    return [(flow, reset_for(segment))]
+
+
+def outgoing_of(flow: FlowKey, connection: Connection) -> list[Outgoing]:
+    """Take what a connection has queued."""
+    return [(flow, item) for item in connection.take_outbox()]
+
+
+def take_due(forget_at: dict[FlowKey, float], now: float) -> list[FlowKey]:
+    """Take the flows whose closed connections are to be forgotten."""
+    flows = [flow for flow, due in forget_at.items() if due <= now]
+    for flow in flows:
+        del forget_at[flow]
+    return flows
+
+
 @dataclass(slots=True, eq=False)
 class TargetStack:
     """A target's kernel and server."""
@@ -53,9 +73,7 @@
         if opening and (connection is None or connection.state is State.CLOSED):
             return self.open(flow, segment, now)
         if connection is None:
-            if segment.flags & RST:
-                return []
-            return [(flow, reset_for(segment))]
+            return answer_unknown(flow, segment)
         connection.receive(segment, now)
         return self.advance(flow, connection, now)
 
@@ -69,7 +87,7 @@
         self.sessions[flow] = ServerSession(self.on_run)
         self.forget_at.pop(flow, None)
         self.accepted_at.append(now)
-        return [(flow, item) for item in connection.take_outbox()]
+        return outgoing_of(flow, connection)
 
     def advance(
         self, flow: FlowKey, connection: Connection, now: float
@@ -79,7 +97,7 @@
             self.sessions[flow].advance(connection, now)
         elif connection.state is State.CLOSED:
             self.forget_at.setdefault(flow, now + LINGER)
-        return [(flow, item) for item in connection.take_outbox()]
+        return outgoing_of(flow, connection)
 
     def tick(self, now: float) -> list[Outgoing]:
         """Run timers and paced streams."""
@@ -87,8 +105,7 @@
         for flow, connection in list(self.connections.items()):
             connection.tick(now)
             outgoing += self.advance(flow, connection, now)
-        for flow in [key for key, due in self.forget_at.items() if due <= now]:
-            del self.forget_at[flow]
+        for flow in take_due(self.forget_at, now):
             del self.connections[flow]
             del self.sessions[flow]
         return outgoing
@@ -116,15 +133,13 @@
         self.connections[flow] = connection
         self.sessions[flow] = CallerSession(request)
         self.forget_at.pop(flow, None)
-        return [(flow, item) for item in connection.take_outbox()]
+        return outgoing_of(flow, connection)
 
     def receive(self, flow: FlowKey, segment: Segment, now: float) -> list[Outgoing]:
         """Handle a segment; return what to send."""
         connection = self.connections.get(flow)
         if connection is None:
-            if segment.flags & RST:
-                return []
-            return [(flow, reset_for(segment))]
+            return answer_unknown(flow, segment)
         connection.receive(segment, now)
         return self.advance(flow, connection, now)
 
@@ -137,7 +152,7 @@
             session.advance(connection, now)
         if connection.state is State.CLOSED:
             self.forget_at.setdefault(flow, now + LINGER)
-        return [(flow, item) for item in connection.take_outbox()]
+        return outgoing_of(flow, connection)
 
     def tick(self, now: float) -> list[Outgoing]:
         """Run timers and paced uploads."""
@@ -145,7 +160,6 @@
         for flow, connection in list(self.connections.items()):
             connection.tick(now)
             outgoing += self.advance(flow, connection, now)
-        for flow in [key for key, due in self.forget_at.items() if due <= now]:
-            del self.forget_at[flow]
+        for flow in take_due(self.forget_at, now):
             del self.connections[flow]
         return outgoing
--- a/citronspring/systems/openings.py
+++ b/citronspring/systems/openings.py
@@ -13,7 +13,7 @@
     SendToCaller,
     SendToTarget,
 )
-from citronspring.systems.binding import bind, close, forget
+from citronspring.systems.binding import TCP, bind, close, forget
 from citronspring.systems.health import note_failure, note_placed, return_at
 from citronspring.systems.limits import RETRY_AFTER, admit, take_retry
 from citronspring.systems.placement import choose_target, may_take
@@ -34,8 +34,6 @@
 #: less likely it is found again once both its copies are lost.
 DATAGRAM_TARGETS = 2
 
-TCP = 6
-
 
 def open_flow(
     tables: Tables,
