Keep every piece of a request's path: followers of a reader got 404

Cause: the parser tells of a path in one call for each segment of the link; the last piece overwrote the others. Ruled out: held answers and reuse of connections (tests for both).

--- a/citronspring/daemons/http_server.py
+++ b/citronspring/daemons/http_server.py
@@ -99,9 +99,13 @@
         except (OSError, HttpParserError):
             self.close()
 
+    def on_message_begin(self) -> None:
+        """Begin another request; called by the parser."""
+        self.path = ""
+
     def on_url(self, url: bytes) -> None:
-        """Note the path; called by the parser."""
-        self.path = url.decode("ascii", "replace")
+        """Take a piece of the path; called by the parser, for each segment again."""
+        self.path += url.decode("ascii", "replace")
 
     def on_message_complete(self) -> None:
         """Answer the request, now or later; called by the parser."""
