Reset an open flow only with a second witness, or with a silent zone

Two repetitions of one request had counted as two silences, and the flow was reset as its third copy came.

Ruled out: a full send buffer (no send error), a wrong target or token, a target that works slowly (other flows of it were answered).

Now copies of a request are one witness.

--- a/benchmarks/tokens.py
+++ b/benchmarks/tokens.py
@@ -28,7 +28,7 @@
     route_key,
 )
 from citronspring.tokens.flows import close_flow
-from citronspring.tokens.messages import Page
+from citronspring.tokens.messages import ListEntries, Page
 from citronspring.tokens.reader import ReaderTimes
 
 if TYPE_CHECKING:
@@ -71,7 +71,7 @@
         entries.append(
             Target(f"i-{number:x}", number, endpoint, "s", "north", 2, False, 0.0, 1)
         )
-    core.take_answer(Page(tuple(entries), 1, None), 0.0, 0.0)
+    core.take_answer(ListEntries(), Page(tuple(entries), 1, None), 0.0, 0.0)
     return core
 
 
--- a/citronspring/tokens/evidence.py
+++ b/citronspring/tokens/evidence.py
@@ -34,17 +34,20 @@
 #: Seconds for which a zone stays suspect without further evidence.
 ZONE_SUSPICION = 1.0
 
-#: Things a target left unanswered, the repeated request of a flow among them, that
-#: make the flow hopeless.
-CERTAIN_SILENCES = 2
-
-#: Requests sent again to a target without an answer between that show it to be out of
-#: reach. A target acknowledges bytes at once, however slow its work is: of 1,630
-#: requests that took over 250 ms none was sent again. So one means a lost datagram or
-#: a lost target, and a second one is no accident. Openings alone never suffice: a
-#: full target leaves them unanswered too, while its open flows go on.
+#: Flows whose requests were sent again to a target, without an answer between, that
+#: show it to be out of reach. A target acknowledges bytes at once, however slow its
+#: work is: of 1,630 requests that took over 250 ms none was sent again. So one means
+#: lost datagrams or a lost target, and a second one is no accident. Copies of one
+#: request count once: datagrams are lost in bursts, and a target that was well has
+#: answered the third copy after two were lost. Openings alone never suffice: a full
+#: target leaves them unanswered too, while its open flows go on.
 CERTAIN_REPEATS = 2
 
+#: Silent targets of another zone, none of which answered since, that make a flow to
+#: one of them hopeless once its request was sent again. A host with few flows to each
+#: target has no second witness, and its callers would wait for their deadlines.
+CERTAIN_TARGETS = 3
+
 #: Seconds for which evidence lasts. Two lost datagrams further apart are a coincidence
 #: that a busy host meets. While a target counts as out of reach, requests on its flows
 #: are reset at once, and tried elsewhere within their objective, where waiting for
@@ -62,21 +65,27 @@
     row.answered_at = now
     row.silent_since = math.inf
     row.silences = 0
-    row.silent_at = row.silent_before = -math.inf
+    row.silent_at = row.other_silent_at = -math.inf
+    row.silent_flow = b""
     row.repeats = 0
     row.avoid_until = 0.0
     zone = tables.zone_row(row.target.zone)
     zone.answered_at = now
     zone.suspect_until = 0.0
+    zone.silent_targets = 0
 
 
-def note_silence(tables: Tables, row: TargetRow, sent_at: float, now: float) -> None:
-    """Take that an opening or request sent at a time has stayed without an answer."""
+def note_silence(
+    tables: Tables, row: TargetRow, flow: bytes, sent_at: float, now: float
+) -> None:
+    """Take that a flow's opening or request of a time has stayed without an answer."""
     if sent_at < row.answered_at:
         return
     row.silent_since = min(row.silent_since, sent_at)
     row.silences += 1
-    row.silent_before = row.silent_at
+    if flow != row.silent_flow:
+        row.silent_flow = flow
+        row.other_silent_at = row.silent_at
     row.silent_at = now
     doublings = min(row.silences - 1, MOST_DOUBLINGS)
     avoidance = min(FIRST_AVOIDANCE * 2.0**doublings, LONGEST_AVOIDANCE)
@@ -85,10 +94,14 @@
         judge_zone(tables, row, now)
 
 
-def note_repeat(tables: Tables, row: TargetRow, sent_at: float, now: float) -> None:
+def note_repeat(tables: Tables, key: bytes, flow: FlowRow, now: float) -> None:
     """Take that a request was sent again, as nothing acknowledged it."""
-    note_silence(tables, row, sent_at, now)
-    if sent_at >= row.answered_at:
+    row = flow.target
+    flow.repeats += 1
+    note_silence(tables, row, key, flow.asked_at, now)
+    if flow.repeats == 1 and flow.asked_at >= row.answered_at:
+        if now - row.repeated_at > CERTAINTY_LASTS:
+            row.repeats = 0
         row.repeats += 1
         row.repeated_at = now
 
@@ -96,12 +109,12 @@
 def judge_zone(tables: Tables, row: TargetRow, now: float) -> None:
     """Suspect the way to a target's zone when several of its targets are silent."""
     zone = tables.zone_row(row.target.zone)
-    silent = sum(
+    zone.silent_targets = sum(
         other.silences > 0 and other.silent_since > zone.answered_at
         for other in tables.targets.values()
         if other.target.zone == row.target.zone
     )
-    if silent >= SILENT_TARGETS:
+    if zone.silent_targets >= SILENT_TARGETS:
         zone.suspect_until = now + ZONE_SUSPICION
 
 
@@ -120,17 +133,28 @@
     )
 
 
-def certainly_unreachable(flow: FlowRow, now: float) -> bool:
+def certainly_unreachable(tables: Tables, flow: FlowRow, now: float) -> bool:
     """Whether a flow's target is out of reach beyond what loss or load explains.
 
     A false reset breaks a flow that would have gone on, while silence only costs
-    time. One request that was sent again may be a lost datagram; so something else
-    must have stayed without an answer too, and nothing been answered since. Where
-    only other flows were repeated, the belief soon needs new evidence: a target that
-    is in reach again would answer the next request.
+    time. A request that was sent again may have been lost with all its copies; so
+    other flows must have stayed without an answer too, and nothing been answered
+    since. Where only other flows were repeated, the belief soon needs new evidence: a
+    target that is in reach again would answer the next request.
     """
     row = flow.target
-    if flow.repeats and now - row.silent_before <= CERTAINTY_LASTS:
-        return row.silences >= CERTAIN_SILENCES
+    if flow.repeats and now - row.other_silent_at <= CERTAINTY_LASTS:
+        return True
+    if flow.repeats and lost_with_its_zone(tables, row, now):
+        return True
     recent = now - row.repeated_at <= CERTAINTY_LASTS
     return row.repeats >= CERTAIN_REPEATS and recent
+
+
+def lost_with_its_zone(tables: Tables, row: TargetRow, now: float) -> bool:
+    """Whether a target is one of several silent ones of a zone that is cut off."""
+    zone = tables.zones.get(row.target.zone)
+    if zone is None or zone.suspect_until <= now:
+        return False
+    silent = row.silences > 0 and row.silent_since > zone.answered_at
+    return silent and zone.silent_targets >= CERTAIN_TARGETS
--- a/citronspring/tokens/forwarding.py
+++ b/citronspring/tokens/forwarding.py
@@ -172,8 +172,7 @@
         start_request(flow, now)
     elif flow.busy and now - flow.sent_at >= REPEAT_GAP:
         flow.sent_at = now
-        flow.repeats += 1
-        note_repeat(tables, flow.target, flow.asked_at, now)
+        note_repeat(tables, packet.flow, flow, now)
 
 
 def hopeless(
@@ -188,7 +187,7 @@
         return None
     if certainly_gone(tables, flow.target, now):
         return ResetReason.TARGET_GONE
-    if certainly_unreachable(flow, now):
+    if certainly_unreachable(tables, flow, now):
         return ResetReason.TARGET_UNREACHABLE
     return None
 
--- a/citronspring/tokens/tables.py
+++ b/citronspring/tokens/tables.py
@@ -47,10 +47,11 @@
     silent_since: float = math.inf
     #: Openings and requests it left unanswered since it last answered.
     silences: int = 0
-    #: When that was last, and the time before.
+    #: When that was last, for which flow, and when it was last for another flow.
     silent_at: float = -math.inf
-    silent_before: float = -math.inf
-    #: Of these, requests that a caller sent again; and when that was last.
+    silent_flow: bytes = b""
+    other_silent_at: float = -math.inf
+    #: Flows that sent a request again in vain since; and when one last did.
     repeats: int = 0
     repeated_at: float = -math.inf
     #: Time until which new flows rather go elsewhere.
@@ -64,6 +65,8 @@
     answered_at: float = -math.inf
     #: Time until which no target of the zone is believed to be in reach.
     suspect_until: float = 0.0
+    #: Targets of it that are silent, with no answer from the zone since.
+    silent_targets: int = 0
 
 
 @record
