Hand on differences of configurations, within a share of the link

A configuration of 240 routes is some 40 KB; a reader with a link of 5 Mbit/s sent it whole to fourteen hosts, for about a second, and callers' packets were lost meanwhile (resets 0.7 s after the change at 2.06 s, on two hosts).

Now what differs is handed on, under 500 bytes where 40 KB were; a difference that does not fit sends the follower to the store. Followers take a twentieth of a link at most, and are sent to the store beyond it.

--- a/citronspring/daemons/token_host.py
+++ b/citronspring/daemons/token_host.py
@@ -26,6 +26,7 @@
 from citronspring.flags import SYN
 from citronspring.tokens.balancer import TokenBalancer
 from citronspring.tokens.messages import Drop, Forward, Log, ResetCaller
+from citronspring.tokens.news import LINK_SHARE
 from citronspring.tokens.reader import ReaderTimes
 
 if TYPE_CHECKING:
@@ -94,6 +95,7 @@
         self.core = TokenBalancer.from_config(
             settings.host_id, settings.zone, times_of(settings), len(settings.peers)
         )
+        self.core.tables.news.rate = LINK_SHARE * settings.link_rate
         # Until packets are read, the first turn lasts: what then has waited since the
         # start for longer than a pause is too old to be placed.
         self.core.begin_turn(self.started_at)
@@ -322,6 +324,7 @@
         self.write(SETTINGS_READ.number, {"changed": changed})
         self.settings = settings
         self.calls.take_settings(settings)
+        self.core.tables.news.rate = LINK_SHARE * settings.link_rate
         self.core.times = times_of(settings)
 
     def on_dump(self, number: int, frame: object) -> None:
--- a/citronspring/host_settings.py
+++ b/citronspring/host_settings.py
@@ -25,6 +25,8 @@
     #: Where other hosts answer that; some may be gone.
     peers: tuple[Endpoint, ...]
     store: Endpoint
+    #: Bytes a second that this host's link carries.
+    link_rate: float
     #: Part of one processor core that this host may use.
     processor_share: float
     #: Seconds within which a change of configuration must be in force.
--- a/citronspring/platform/settings.py
+++ b/citronspring/platform/settings.py
@@ -17,6 +17,9 @@
 #: Seconds in a millisecond; the platform counts in milliseconds.
 MILLISECOND = 0.001
 
+#: Bytes in a megabit, as links are measured.
+BYTES_OF_MEGABIT = 125_000
+
 
 def read_settings() -> HostSettings:
     """Read the settings file that the environment names.
@@ -79,7 +82,8 @@
         copies=address_of(addresses, "control"),
         peers=peers_of(table),
         store=address_of(section(table, "platform"), "addr"),
-        processor_share=share_of(table),
+        link_rate=limit_of(table, "link_mbps", 1000.0) * BYTES_OF_MEGABIT,
+        processor_share=limit_of(table, "cpu_share", 1.0),
         # How soon an accepted configuration must be in force.
         change_bound=number_of(bounds, "config_apply_ms") * MILLISECOND,
         # How long after a trouble that must hold again.
@@ -113,12 +117,12 @@
     return float(value)
 
 
-def share_of(table: dict[str, Any]) -> float:
-    """Return the part of a core that the host may use, a whole one if none is set."""
+def limit_of(table: dict[str, Any], name: str, default: float) -> float:
+    """Return a limit of this host; the default where none is set."""
     limits = table.get("limits")
-    if not isinstance(limits, dict) or "cpu_share" not in limits:
-        return 1.0
-    return number_of(limits, "cpu_share")
+    if not isinstance(limits, dict) or name not in limits:
+        return default
+    return number_of(limits, name)
 
 
 def address_of(table: dict[str, Any], name: str) -> Endpoint:
--- a/citronspring/platform/store.py
+++ b/citronspring/platform/store.py
@@ -4,7 +4,7 @@
 
 import json
 from base64 import b64decode
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from citronspring.errors import StoredValueError
 from citronspring.http_request import HttpRequest
@@ -14,7 +14,6 @@
     UNUSABLE,
     decode_entry,
 )
-from citronspring.tokens.entities import Configuration, Target, ZoneReader
 from citronspring.tokens.messages import (
     Changes,
     HistoryLost,
@@ -28,6 +27,9 @@
     WatchEntries,
 )
 
+if TYPE_CHECKING:
+    from citronspring.tokens.messages import Change, Entry
+
 #: Keys that a host follows: all of them, as one watch costs less than two.
 FOLLOWED_PREFIX = ""
 
@@ -80,7 +82,7 @@
 
 def decode_page(body: dict[str, Any]) -> Page:
     """Translate one page of a range."""
-    entries: list[Configuration | Target | ZoneReader] = []
+    entries: list[Entry] = []
     unreadable: dict[str, str] = {}
     for item in body["items"]:
         entry = decode_item(item, unreadable)
@@ -92,7 +94,7 @@
 
 def decode_changes(body: dict[str, Any]) -> Changes:
     """Translate the events of a watch."""
-    changes: list[Configuration | Target | ZoneReader | Removed | ReaderRemoved] = []
+    changes: list[Change] = []
     unreadable: dict[str, str] = {}
     revision = None
     for event in body["events"]:
@@ -117,9 +119,7 @@
     return None
 
 
-def decode_item(
-    item: dict[str, Any], unreadable: dict[str, str]
-) -> Configuration | Target | ZoneReader | None:
+def decode_item(item: dict[str, Any], unreadable: dict[str, str]) -> Entry | None:
     """Translate an item; one that cannot be read is noted under its target's id."""
     key = item["key"]
     try:
--- a/citronspring/tokens/copies.py
+++ b/citronspring/tokens/copies.py
@@ -41,15 +41,17 @@
     return {
         "revision": configuration.revision,
         "idle_timeout": configuration.idle_timeout,
-        "routes": [
-            {
-                "name": route.name,
-                "key": route.key,
-                "shares": [[share.service, share.weight] for share in route.shares],
-                "idempotent": route.idempotent,
-            }
-            for route in configuration.routes
-        ],
+        "routes": [plain_route(route) for route in configuration.routes],
+    }
+
+
+def plain_route(route: Route) -> dict[str, Any]:
+    """Return a route as plain values."""
+    return {
+        "name": route.name,
+        "key": route.key,
+        "shares": [[share.service, share.weight] for share in route.shares],
+        "idempotent": route.idempotent,
     }
 
 
@@ -79,18 +81,20 @@
 
 def decode_configuration(body: dict[str, Any]) -> Configuration:
     """Return a configuration from plain values."""
-    routes = tuple(
-        Route(
-            str(route["name"]),
-            int(route["key"]),
-            tuple(Share(str(name), float(weight)) for name, weight in route["shares"]),
-            bool(route["idempotent"]),
-        )
-        for route in body["routes"]
-    )
+    routes = tuple(decode_route(route) for route in body["routes"])
     return Configuration(int(body["revision"]), routes, float(body["idle_timeout"]))
 
 
+def decode_route(body: dict[str, Any]) -> Route:
+    """Return a route from plain values."""
+    return Route(
+        str(body["name"]),
+        int(body["key"]),
+        tuple(Share(str(name), float(weight)) for name, weight in body["shares"]),
+        bool(body["idempotent"]),
+    )
+
+
 def decode_target(body: dict[str, Any]) -> Target:
     """Return a target from plain values."""
     ip, port = body["endpoint"]
--- a/citronspring/tokens/entities.py
+++ b/citronspring/tokens/entities.py
@@ -47,7 +47,7 @@
     weight: float
 
 
-@record
+@record(eq=True)
 class Route:
     """A service address and the services that take its new flows."""
 
--- a/citronspring/tokens/following.py
+++ b/citronspring/tokens/following.py
@@ -11,6 +11,7 @@
 
 from citronspring.events import FOLLOWING, READER_LOST
 from citronspring.tokens.messages import (
+    ConfigurationChange,
     FollowReader,
     HistoryLost,
     Log,
@@ -19,7 +20,7 @@
     Unanswered,
 )
 from citronspring.tokens.news import note_news
-from citronspring.tokens.revisions import apply_change
+from citronspring.tokens.revisions import apply_change, fits
 
 if TYPE_CHECKING:
     from citronspring.tokens.entities import ZoneReader
@@ -70,6 +71,9 @@
     so no earlier than ``sent_at + held``.
     """
     for change in answer.changes:
+        if isinstance(change, ConfigurationChange) and not fits(tables, change):
+            lose_reader(tables, "a configuration is missing", now, actions)
+            return
         apply_change(tables, change, now, actions)
     reader = tables.reader
     reader.revision = max(reader.revision, answer.revision)
--- a/citronspring/tokens/messages.py
+++ b/citronspring/tokens/messages.py
@@ -12,6 +12,7 @@
     from citronspring.tokens.entities import (
         Configuration,
         Packet,
+        Route,
         Target,
         ZoneReader,
     )
@@ -134,7 +135,7 @@
 class Page:
     """Entries of one page, in the order of their keys."""
 
-    entries: tuple[Configuration | Target | ZoneReader, ...]
+    entries: tuple[Entry, ...]
     #: Revision of the store when it answered.
     revision: int
     #: Key after which the next page starts; None after the last one.
@@ -148,7 +149,7 @@
 class Changes:
     """Changes above the revision of a watch, oldest first."""
 
-    changes: tuple[Configuration | Target | ZoneReader | Removed | ReaderRemoved, ...]
+    changes: tuple[Change, ...]
     #: Revision of the last of them; None if nothing has changed. An answer without
     #: news never moves a watch on: were it wrong, changes would be missed for good.
     revision: int | None
@@ -187,11 +188,24 @@
     age: float
 
 
+@record
+class ConfigurationChange:
+    """What differs between two configurations, as hosts hand it on."""
+
+    #: Revisions of both.
+    base: int
+    revision: int
+    idle_timeout: float
+    #: Routes that are new or have changed, and keys of those that are gone.
+    routes: tuple[Route, ...]
+    removed: tuple[int, ...]
+
+
 @record
 class ReaderNews:
     """What the zone's reader has read above a revision."""
 
-    changes: tuple[Configuration | Target | ZoneReader | Removed | ReaderRemoved, ...]
+    changes: tuple[News, ...]
     #: Revision of the store that the reader stands at.
     revision: int
     #: Seconds, when it answered, since it knew that nothing else had changed.
@@ -270,3 +284,11 @@
 ElectionAnswer = (
     LeaseGranted | Done | ConditionFailed | LeaseLost | Refused | Unanswered
 )
+
+
+if TYPE_CHECKING:
+    #: What an entry of the store holds, and what a change of one brings.
+    Entry = Configuration | Target | ZoneReader
+    Change = Entry | Removed | ReaderRemoved
+    #: The same as hosts hand it on.
+    News = ConfigurationChange | Target | ZoneReader | Removed | ReaderRemoved
--- a/citronspring/tokens/news.py
+++ b/citronspring/tokens/news.py
@@ -10,13 +10,14 @@
 from citronspring.tokens.copies import (
     OK,
     UNUSABLE,
-    decode_configuration,
+    decode_route,
     decode_target,
-    plain_configuration,
+    plain_route,
     plain_target,
 )
-from citronspring.tokens.entities import Configuration, Target, ZoneReader
+from citronspring.tokens.entities import Target, ZoneReader
 from citronspring.tokens.messages import (
+    ConfigurationChange,
     HistoryLost,
     ReaderNews,
     ReaderRemoved,
@@ -26,14 +27,26 @@
 )
 
 if TYPE_CHECKING:
+    from citronspring.tokens.messages import News
     from citronspring.tokens.reader import ReaderTimes
-    from citronspring.tokens.tables import Tables
+    from citronspring.tokens.tables import NewsLog, Tables
 
 #: Changes kept for followers. They ask again within three seconds, in which even a
 #: fleet that is replaced as a whole brings a few hundred; one that is further behind
 #: reads the store.
 MOST_CHANGES = 1000
 
+#: Share of a host's link that its followers may take. What a link has no room for is
+#: lost, callers' packets first: a configuration of 240 routes sent whole to fourteen
+#: hosts kept a link of 5 Mbit/s full for a second, and flows broke.
+LINK_SHARE = 0.05
+
+#: Seconds for which an unused share is saved up.
+LONGEST_SAVING = 1.0
+
+#: Bytes that an answer takes beside its body.
+HEAD_BYTES = 150
+
 #: Status for a follower that is further behind than the log reaches, and for one
 #: that had better read the store itself.
 TOO_FAR_BEHIND = 410
@@ -96,16 +109,34 @@
         "held": now - poll.asked_at,
         "changes": [plain_change(change) for change in changes],
     }
-    return OK, json.dumps(body)
+    text = json.dumps(body)
+    if not take_allowance(tables.news, len(text) + HEAD_BYTES, now):
+        return TOO_FAR_BEHIND, "more than the link has room for\n"
+    return OK, text
 
 
-def plain_change(
-    change: Configuration | Target | ZoneReader | Removed | ReaderRemoved,
-) -> dict[str, Any]:
+def take_allowance(news: NewsLog, size: int, now: float) -> bool:
+    """Take some bytes of what followers may cost; return whether there were enough."""
+    gained = min(now - news.allowed_at, LONGEST_SAVING) * news.rate
+    news.allowance = min(news.allowance + gained, LONGEST_SAVING * news.rate)
+    news.allowed_at = now
+    if size > news.allowance:
+        return False
+    news.allowance -= size
+    return True
+
+
+def plain_change(change: News) -> dict[str, Any]:
     """Return a change as plain values."""
     match change:
-        case Configuration():
-            return {"configuration": plain_configuration(change)}
+        case ConfigurationChange():
+            return {
+                "base": change.base,
+                "revision": change.revision,
+                "idle_timeout": change.idle_timeout,
+                "routes": [plain_route(route) for route in change.routes],
+                "removed_routes": list(change.removed),
+            }
         case Target():
             return {"target": plain_target(change, change.warmup)}
         case Removed():
@@ -137,12 +168,16 @@
         return Unanswered(f"news that cannot be read: {error!r}")
 
 
-def decode_change(
-    body: dict[str, Any],
-) -> Configuration | Target | ZoneReader | Removed | ReaderRemoved:
+def decode_change(body: dict[str, Any]) -> News:
     """Return a change from plain values."""
-    if "configuration" in body:
-        return decode_configuration(body["configuration"])
+    if "base" in body:
+        return ConfigurationChange(
+            int(body["base"]),
+            int(body["revision"]),
+            float(body["idle_timeout"]),
+            tuple(decode_route(route) for route in body["routes"]),
+            tuple(int(key) for key in body["removed_routes"]),
+        )
     if "target" in body:
         return decode_target(body["target"])
     if "reader" in body:
--- a/citronspring/tokens/reader.py
+++ b/citronspring/tokens/reader.py
@@ -36,8 +36,7 @@
 from citronspring.tokens.revisions import apply_change, apply_list
 
 if TYPE_CHECKING:
-    from citronspring.tokens.entities import Configuration, Target, ZoneReader
-    from citronspring.tokens.messages import Action, StoreAnswer, StoreCall
+    from citronspring.tokens.messages import Action, Entry, StoreAnswer, StoreCall
     from citronspring.tokens.tables import Tables
 
 #: Share of the configuration bound that a watch waits for news at most. While it
@@ -280,8 +279,7 @@
     current.
     """
     reader = tables.reader
-    entries: list[Configuration | Target | ZoneReader]
-    entries = [copy.configuration, *copy.targets]
+    entries: list[Entry] = [copy.configuration, *copy.targets]
     apply_list(tables, entries, set(), copy.revision, now, actions)
     start_list(tables)
     reader.listed = True
--- a/citronspring/tokens/revisions.py
+++ b/citronspring/tokens/revisions.py
@@ -18,13 +18,19 @@
     ZoneReader,
     token_of,
 )
-from citronspring.tokens.messages import Log, ReaderRemoved, Removed
+from citronspring.tokens.messages import (
+    ConfigurationChange,
+    Log,
+    ReaderRemoved,
+    Removed,
+)
 from citronspring.tokens.tables import TargetRow
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from citronspring.tokens.messages import Action
+    from citronspring.tokens.entities import Route
+    from citronspring.tokens.messages import Action, Change, Entry
     from citronspring.tokens.tables import Tables
 
 #: Seconds for which a target without an entry is still forwarded to. It may live on
@@ -35,18 +41,24 @@
 
 def apply_change(
     tables: Tables,
-    change: Configuration | Target | ZoneReader | Removed | ReaderRemoved,
+    change: Change | ConfigurationChange,
     now: float,
     actions: list[Action],
 ) -> None:
     """Put one entry or removal in force, unless something newer is already."""
+    news: bool
     match change:
         case ZoneReader():
             news = apply_zone_reader(tables, change, actions)
         case ReaderRemoved():
             news = remove_zone_reader(tables, change, actions)
         case Configuration():
-            news = apply_configuration(tables, change, actions)
+            difference = apply_configuration(tables, change, actions)
+            if difference is not None:
+                tables.news.fresh.append(difference)
+            return
+        case ConfigurationChange():
+            news = apply_configuration_change(tables, change, actions)
         case Removed():
             news = remove_target(tables, change, now, actions)
         case Target():
@@ -91,17 +103,16 @@
 
 def apply_configuration(
     tables: Tables, configuration: Configuration, actions: list[Action]
-) -> bool:
+) -> ConfigurationChange | None:
     """Put a configuration in force if it is newer than the one that is.
 
-    Returns whether it was.
-
-    A late or stale answer can bring an older one; applied, it would bring removed
-    routes back.
+    Returns what differs; None if it was not newer. A late or stale answer can bring an
+    older one; applied, it would bring removed routes back.
     """
     if configuration.revision <= tables.configuration:
-        return False
+        return None
     before = tables.configuration
+    difference = difference_of(tables.routes, before, configuration)
     tables.configuration = configuration.revision
     tables.last_configuration = configuration
     tables.idle_timeout = configuration.idle_timeout
@@ -117,6 +128,42 @@
         "routes": len(tables.routes),
     }
     actions.append(Log(CONFIGURATION_APPLIED.number, fields))
+    return difference
+
+
+def difference_of(
+    routes: dict[int, Route], before: int, after: Configuration
+) -> ConfigurationChange:
+    """Return what differs between the routes in force and a configuration."""
+    changed = [route for route in after.routes if routes.get(route.key) != route]
+    removed = routes.keys() - {route.key for route in after.routes}
+    return ConfigurationChange(
+        before, after.revision, after.idle_timeout, tuple(changed), tuple(removed)
+    )
+
+
+def fits(tables: Tables, change: ConfigurationChange) -> bool:
+    """Whether a difference can be applied here, or is no news."""
+    return tables.configuration in (change.base, change.revision) or (
+        tables.configuration > change.revision
+    )
+
+
+def apply_configuration_change(
+    tables: Tables, change: ConfigurationChange, actions: list[Action]
+) -> bool:
+    """Put in force what differs from the configuration that is; return if it was news.
+
+    The caller has made sure that it `fits`.
+    """
+    if change.revision <= tables.configuration:
+        return False
+    routes = dict(tables.routes)
+    for key in change.removed:
+        routes.pop(key, None)
+    routes.update({route.key: route for route in change.routes})
+    whole = Configuration(change.revision, tuple(routes.values()), change.idle_timeout)
+    apply_configuration(tables, whole, actions)
     return True
 
 
@@ -214,7 +261,7 @@
 
 def apply_list(
     tables: Tables,
-    entries: Iterable[Configuration | Target | ZoneReader],
+    entries: Iterable[Entry],
     unreadable: set[str],
     revision: int,
     now: float,
--- a/citronspring/tokens/tables.py
+++ b/citronspring/tokens/tables.py
@@ -17,7 +17,7 @@
         Target,
         ZoneReader,
     )
-    from citronspring.tokens.messages import ReaderRemoved, Removed
+    from citronspring.tokens.messages import News
 
 #: Flows a host keeps a row of; the others are forwarded by their token alone. At
 #: about 500 bytes a row this is 25 MB of the 120 MB that the smallest host has.
@@ -156,15 +156,16 @@
     """Changes put in force here, for hosts that follow; the oldest are let go."""
 
     #: Changes of the answer that is being put in force.
-    fresh: list[Configuration | Target | ZoneReader | Removed | ReaderRemoved] = field(
-        default_factory=list
-    )
+    fresh: list[News] = field(default_factory=list)
     #: Changes at or below this revision are not in the log.
     base: int = 0
     #: Each with the revision of the store up to which this host had read then.
-    changes: deque[
-        tuple[int, Configuration | Target | ZoneReader | Removed | ReaderRemoved]
-    ] = field(default_factory=deque)
+    changes: deque[tuple[int, News]] = field(default_factory=deque)
+    #: Bytes a second that followers may cost, what of them is left, and since when;
+    #: until the settings are known, as on a link of 1 Gbit/s.
+    rate: float = 6_250_000.0
+    allowance: float = 0.0
+    allowed_at: float = -math.inf
 
 
 def make_histograms() -> dict[str, Histogram]:
