Sleep until a call is really due, and look through the log only for news

A host that was second with its claim, or whose store failed, had a call due in the past that was never made, and turned without sleep; a reader read its log of up to a thousand changes for each waiting follower at each turn.

Both tests failed before.

--- a/citronspring/tokens/election.py
+++ b/citronspring/tokens/election.py
@@ -78,10 +78,9 @@
         election.lease = 0
     if tables.leave_deadline is not None:
         return give_up(tables)
-    holder = tables.zone_readers.get(tables.zone)
-    if holder is not None:
+    if tables.zone in tables.zone_readers:
         election.claim_at = math.inf
-        held = election.lease and holder.host_id == tables.host_id
+        held = election.lease and holds_zone(tables)
         # A reader that cannot read must not keep others from it.
         if held and now >= election.renew_at and not tables.reader.failures:
             return RenewLease(election.lease)
@@ -150,8 +149,23 @@
 
 
 def next_election_deadline(tables: Tables) -> float:
-    """Return the time at which a call may be due."""
+    """Return the time at which a call may be due, infinite while none will be.
+
+    A time that has passed would have the process look again and again for a call that
+    is not made.
+    """
     election = tables.election
-    if election.lease:
-        return min(election.renew_at, election.claim_at)
-    return election.claim_at
+    if tables.leave_deadline is not None:
+        return -math.inf if election.lease else math.inf
+    if tables.zone_readers.get(tables.zone) is None:
+        readable = tables.reader.listed and not tables.reader.failures
+        return election.claim_at if readable else math.inf
+    if not election.lease or tables.reader.failures or not holds_zone(tables):
+        return math.inf
+    return election.renew_at
+
+
+def holds_zone(tables: Tables) -> bool:
+    """Whether this host is registered as the reader of its zone."""
+    holder = tables.zone_readers.get(tables.zone)
+    return holder is not None and holder.host_id == tables.host_id
--- a/citronspring/tokens/news.py
+++ b/citronspring/tokens/news.py
@@ -95,11 +95,7 @@
         return NOT_CURRENT, "not current\n"
     if poll.after_revision < tables.news.base:
         return TOO_FAR_BEHIND, "further behind than what is kept\n"
-    changes = [
-        change
-        for revision, change in tables.news.changes
-        if revision > poll.after_revision
-    ]
+    changes = changes_above(tables.news, poll.after_revision)
     confirmed = reader.current_at > poll.asked_at
     if not changes and not confirmed and now < poll.deadline:
         return None
@@ -115,6 +111,21 @@
     return OK, text
 
 
+def changes_above(news: NewsLog, revision: int) -> list[News]:
+    """Return the changes above a revision, oldest first.
+
+    Looked for from the newest on: the polls of a zone are asked about at each turn of
+    the process, and reading a whole log each time cost a reader a fifth of a core.
+    """
+    found = []
+    for stamp, change in reversed(news.changes):
+        if stamp <= revision:
+            break
+        found.append(change)
+    found.reverse()
+    return found
+
+
 def take_allowance(news: NewsLog, size: int, now: float) -> bool:
     """Take some bytes of what followers may cost; return whether there were enough."""
     gained = min(now - news.allowed_at, LONGEST_SAVING) * news.rate
--- a/citronspring/tokens/reader.py
+++ b/citronspring/tokens/reader.py
@@ -12,6 +12,7 @@
     STORE_REGAINED,
 )
 from citronspring.records import record
+from citronspring.tokens.election import holds_zone
 from citronspring.tokens.following import (
     follow_call,
     reader_to_follow,
@@ -147,16 +148,10 @@
     if zone_reader is not None:
         # Also when the store serves others and not this host.
         return follow_call(tables, times, zone_reader)
-    wait = times.lead_wait if is_leading(tables) else times.wait
+    wait = times.lead_wait if holds_zone(tables) else times.wait
     return WatchEntries(reader.revision, wait)
 
 
-def is_leading(tables: Tables) -> bool:
-    """Whether this host is registered as the reader of its zone."""
-    reader = tables.zone_readers.get(tables.zone)
-    return reader is not None and reader.host_id == tables.host_id
-
-
 def answer_deadline(tables: Tables, call: StoreCall, now: float) -> float:
     """Return the time at which a call that goes out now is given up."""
     if isinstance(call, FollowReader):
@@ -313,7 +308,7 @@
     note_news(tables)
     confirmed_at = sent_at + quiet_time(call, answer, sent_at, now)
     reader.current_at = max(reader.current_at, confirmed_at)
-    pause = LEAD_PAUSE if is_leading(tables) else WATCH_PAUSE
+    pause = LEAD_PAUSE if holds_zone(tables) else WATCH_PAUSE
     reader.call_at = now + pause if answer.changes else now
 
 
--- a/tests/test_tokens/test_election.py
+++ b/tests/test_tokens/test_election.py
@@ -185,3 +185,29 @@
     candidate.next_call()
     candidate.answer(call, Unanswered("no answer in time"))
     assert candidate.core.next_election_deadline() > candidate.driver.now
+
+
+def test_host_never_waits_for_a_call_that_it_does_not_make():
+    """A host was second with its claim, or its reader of the store fails.
+
+    Its next call was due in the past, and none was made: the process turned without
+    sleep until its lease had ended, and took a fifth of a core from its callers.
+    """
+    second, failing = Candidate(), Candidate().register()
+    second.next_call()
+    second.driver.now += DELAY
+    second.answer(second.next_call(), LeaseGranted(7, LEASE_SECONDS))
+    second.driver.change(OTHER)
+    failing.driver.lose_store()
+    for candidate in (second, failing):
+        candidate.driver.now += RENEW_SHARE * LEASE_SECONDS + 0.1
+        assert candidate.next_call() is None
+        assert candidate.core.next_election_deadline() > candidate.driver.now
+
+
+def test_leaving_reader_is_not_kept_from_giving_its_lease_up():
+    candidate = Candidate().register()
+    candidate.core.leave(candidate.driver.now + 5.0, candidate.driver.now)
+    assert candidate.core.next_election_deadline() <= candidate.driver.now
+    candidate.next_call()
+    assert candidate.core.next_election_deadline() > candidate.driver.now
--- a/tests/test_tokens/test_following.py
+++ b/tests/test_tokens/test_following.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections import deque
 
 import pytest
 from hypothesis import given
@@ -461,3 +462,31 @@
     assert isinstance(answers[-1], HistoryLost)
     driver.now += 1.0
     assert isinstance(ask(driver, after=2), ReaderNews)
+
+
+class CountedLog(deque):
+    """A log of changes that counts how many are looked at."""
+
+    looked_at = 0
+
+    def __reversed__(self):
+        for entry in super().__reversed__():
+            self.looked_at += 1
+            yield entry
+
+
+def test_waiting_followers_cost_no_look_through_the_log():
+    """Fourteen hosts wait for news while a reader forwards its callers' packets.
+
+    Asked about at each turn of the process, they must not cost it a look at each of
+    a thousand changes: a reader spent a fifth of a core on that.
+    """
+    driver = leader()
+    for number in range(500):
+        driver.change(make_target(5, revision=10 + number))
+    driver.tables.news.changes = log = CountedLog(driver.tables.news.changes)
+    newest = driver.tables.reader.revision
+    for _ in range(14):
+        poll = Poll(newest, driver.now, driver.now + 2.0)
+        assert driver.core.answer_poll(poll, driver.now) is None
+    assert log.looked_at <= 14
