--- a/citronspring/emulator/hosts.py
+++ b/citronspring/emulator/hosts.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from citronspring.emulator.network import CALLERS
 from citronspring.emulator.targets import Reply
@@ -37,9 +37,7 @@
     from citronspring.tokens.messages import (
         Action,
         ElectionAnswer,
-        ElectionCall,
         StoreAnswer,
-        StoreCall,
     )
 
 #: Seconds between two turns of the process when nothing wakes it.
@@ -186,7 +184,13 @@
         if call is None:
             return
         self.calling = True
-        pending = PendingCall(self, boot, call, now)
+        core = self.core
+
+        def take(answer: StoreAnswer) -> list[Action]:
+            self.calling = False
+            return core.take_answer(call, answer, now, self.clock.now)
+
+        pending = Pending(self, boot, take)
         match call:
             case ReadPeer():
                 self.ask_peer(self.peers[call.turn % len(self.peers)], pending)
@@ -209,13 +213,19 @@
         if call is None:
             return
         self.electing = True
-        pending = PendingElection(self, boot, call, now)
+        core = self.core
+
+        def take(answer: ElectionAnswer) -> list[Action]:
+            self.electing = False
+            return core.take_election_answer(call, answer, now, self.clock.now)
+
+        pending = Pending(self, boot, take)
         self.store.elect(self.host_id, call, pending.answer)
         timeout = Unanswered("no answer in time")
         self.clock.after(CALL_TIMEOUT, lambda: pending.answer(timeout))
 
     def follow(
-        self, reader: EmulatedHost, call: FollowReader, pending: PendingCall
+        self, reader: EmulatedHost, call: FollowReader, pending: Pending
     ) -> None:
         """Ask the zone's reader for news."""
 
@@ -244,7 +254,7 @@
             else:
                 reply(*found)
 
-    def ask_peer(self, peer: EmulatedHost, pending: PendingCall) -> None:
+    def ask_peer(self, peer: EmulatedHost, pending: Pending) -> None:
         """Ask another host for a copy, over the links between the zones."""
 
         def answer() -> None:
@@ -305,16 +315,16 @@
 
 
 @dataclass(slots=True)
-class PendingCall:
+class Pending:
     """A call under way; it ends once, by its answer or its deadline."""
 
     host: EmulatedHost
     boot: int
-    call: StoreCall
-    sent_at: float
+    #: Takes the answer at the end of the call.
+    take: Callable[[Any], list[Action]]
     ended: bool = False
 
-    def answer(self, answer: StoreAnswer) -> None:
+    def answer(self, answer: StoreAnswer | ElectionAnswer) -> None:
         """Give the core what came back, unless the call has ended."""
         host = self.host
         if self.ended or self.boot != host.boot or host.core is None:
@@ -323,32 +333,4 @@
             host.clock.after(TURN, lambda: self.answer(answer))
             return
         self.ended = True
-        host.calling = False
-        now = host.clock.now
-        host.perform(host.core.take_answer(self.call, answer, self.sent_at, now))
-
-
-@dataclass(slots=True)
-class PendingElection:
-    """A call for the choice of a reader; it ends once."""
-
-    host: EmulatedHost
-    boot: int
-    call: ElectionCall
-    sent_at: float
-    ended: bool = False
-
-    def answer(self, answer: ElectionAnswer) -> None:
-        """Give the core what came back, unless the call has ended."""
-        host = self.host
-        if self.ended or self.boot != host.boot or host.core is None:
-            return
-        if host.frozen:
-            host.clock.after(TURN, lambda: self.answer(answer))
-            return
-        self.ended = True
-        host.electing = False
-        now = host.clock.now
-        host.perform(
-            host.core.take_election_answer(self.call, answer, self.sent_at, now)
-        )
+        host.perform(self.take(answer))
--- a/citronspring/platform/__main__.py
+++ b/citronspring/platform/__main__.py
@@ -44,13 +44,20 @@
 )
 
 
+#: Argument that has the settings checked and nothing started.
+CHECK = "check-settings"
+
+
 def main() -> int:
-    """Run a host until it is told to stop."""
+    """Run a host until it is told to stop, or check its settings."""
     try:
         settings = read_settings()
     except SettingsError as error:
         sys.stderr.write(f"citronspring: {error}\n")
         return BAD_SETTINGS
+    if sys.argv[1:] == [CHECK]:
+        sys.stdout.write(f"the settings of {settings.host_id} are valid\n")
+        return 0
     TokenHost(settings, TRANSLATION).run()
     return 0
 
--- a/tests/test_platform/test_process.py
+++ b/tests/test_platform/test_process.py
@@ -330,6 +330,18 @@
     assert "/api/kv-lease-end" in serving.store.calls
 
 
+def test_settings_are_checked_without_starting_anything(host):
+    done = subprocess.run(
+        [sys.executable, "-m", "citronspring.platform", "check-settings"],
+        env={**os.environ, "CITRONSPRING_BOOT": str(host.settings)},
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    assert done.returncode == 0
+    assert "host-1" in done.stdout
+
+
 def test_host_that_starts_without_the_store_takes_a_copy_of_a_peer(serving, tmp_path):
     """The store is away and one host restarts: it serves by what a peer knows."""
     folder = tmp_path / "other"
--- a/tests/test_platform/test_settings.py
+++ b/tests/test_platform/test_settings.py
@@ -49,6 +49,24 @@
     assert settings.stop_grace == 6.0
 
 
+def test_limits_of_the_host_are_read_or_taken_for_large():
+    """A host without limits in its settings starts all the same."""
+    settings = decode_settings(json.dumps(GOOD))
+    assert (settings.processor_share, settings.link_rate) == (1.0, 125_000_000.0)
+    limits = {"cpu_share": 0.163, "link_mbps": 5.0}
+    small = decode_settings(json.dumps({**GOOD, "limits": limits}))
+    assert (small.processor_share, small.link_rate) == (0.163, 625_000.0)
+
+
+@pytest.mark.parametrize(
+    ("limits", "name"),
+    [({"cpu_share": 0}, "cpu_share"), ({"link_mbps": "fast"}, "link_mbps")],
+)
+def test_bad_limit_is_named(limits, name):
+    with pytest.raises(SettingsError, match=name):
+        decode_settings(json.dumps({**GOOD, "limits": limits}))
+
+
 @pytest.mark.parametrize(
     ("path", "value"),
     [
--- /dev/null
+++ b/tests/test_tokens/zone.py
@@ -0,0 +1,50 @@
+"""A zone reader and a host that follows it, driven by hand."""
+
+from __future__ import annotations
+
+from citronspring.endpoints import Endpoint
+from citronspring.tokens.entities import ZoneReader
+from citronspring.tokens.news import Poll, decode_news
+from citronspring.tokens.reader import ReaderTimes
+from tests.test_tokens.driver import BOUND, SETTLING, Driver, make_target
+
+TIMES = ReaderTimes.from_bounds(BOUND, SETTLING)
+READER = ZoneReader("north", "host-9", Endpoint("10.1.0.9", 8166), 2)
+
+#: Seconds that a call to the store takes with a new connection, far above the usual.
+STORE_CALL = 0.3
+
+
+def follower():
+    """Return a host that has heard of its zone's reader."""
+    driver = Driver(make_target(1))
+    driver.change(READER)
+    return driver
+
+
+def leader(*targets):
+    """Return the host that reads for the zone."""
+    driver = Driver(*targets or (make_target(1),))
+    driver.change(ZoneReader("north", "host-1", Endpoint("10.1.0.9", 8166), 2))
+    return driver
+
+
+def next_call(driver):
+    driver.now = max(driver.now, driver.tables.reader.call_at)
+    driver.call = driver.core.next_call(driver.now)
+    return driver.call
+
+
+def numbers(driver):
+    return [log.number for log in driver.logs]
+
+
+def ask(driver, after):
+    """Return what the reader answers a follower that waits for nothing."""
+    poll = Poll(after, driver.now, driver.now)
+    return decode_answer(driver.core.answer_poll(poll, driver.now))
+
+
+def decode_answer(answer):
+    status, body = answer
+    return decode_news(status, body.encode())
