Count two copies of a request as certain where a whole zone is silent

Ruled out: the burst of losses that had faked two copies; that host was its zone's reader, whose link its followers had filled, and its targets were of its own zone, whose others answered. Now two copies count only for another zone that has answered nothing since.

--- a/citronspring/tokens/evidence.py
+++ b/citronspring/tokens/evidence.py
@@ -44,12 +44,15 @@
 #: while open flows go on.
 CERTAIN_REPEATS = 2
 
-#: Silent targets of another zone, with no answer from that zone since, and copies of a
-#: request to one of them, that together make its flow hopeless. A host with few flows
-#: to each target has no second witness, and its callers would wait for their
-#: deadlines: with three silent targets alone, 213 requests into a cut zone failed that
-#: two silent ones and a second copy, 0.6 s after the request, would have ended.
-CERTAIN_SUM = 4
+#: Silent targets of another zone, with no answer from that zone since, that make a
+#: flow to one of them hopeless once its request was sent again.
+CERTAIN_TARGETS = 3
+
+#: Copies of a request to another zone, with no answer from that zone since it was
+#: sent, that do the same. A host with few flows to a zone that is cut off has no other
+#: witness: 213 requests of one day failed for want of it. Two losses in a row come
+#: once in 25 million requests on links that lose one datagram of 5,000.
+CERTAIN_COPIES = 2
 
 #: Seconds for which evidence lasts. Two lost datagrams further apart are a coincidence
 #: that a busy host meets. While a target counts as out of reach, requests on its flows
@@ -145,10 +148,12 @@
 
 
 def lost_with_its_zone(tables: Tables, flow: FlowRow, now: float) -> bool:
-    """Whether a target is one of several silent ones of a zone that is cut off."""
+    """Whether a target is silent with its whole zone, which must be cut off."""
     row = flow.target
     zone = tables.zones.get(row.target.zone)
-    if zone is None or zone.suspect_until <= now:
+    if zone is None or row.target.zone == tables.zone:
+        return False
+    if not row.silences or row.silent_since <= zone.answered_at:
         return False
-    silent = row.silences > 0 and row.silent_since > zone.answered_at
-    return silent and zone.silent_targets + flow.repeats >= CERTAIN_SUM
+    several = zone.suspect_until > now and zone.silent_targets >= CERTAIN_TARGETS
+    return several or flow.repeats >= CERTAIN_COPIES
