--- a/citronspring/tokens/evidence.py
+++ b/citronspring/tokens/evidence.py
@@ -135,10 +135,10 @@
     """Whether a flow's target is out of reach beyond what loss or load explains.
 
     A false reset breaks a flow that would have gone on, while silence only costs
-    time. A request that was sent again may have been lost with all its copies; so
-    other flows must have stayed without an answer too, and nothing been answered
-    since. Where only other flows were repeated, the belief soon needs new evidence: a
-    target that is in reach again would answer the next request.
+    time. A request that was sent again may have been lost with its copies while the
+    target is well; so the requests of two flows, or all that went to another zone, must
+    have stayed without an answer. Where only other flows were repeated, the belief soon
+    needs new evidence: a target that is in reach again would answer the next request.
     """
     row = flow.target
     if flow.repeats and lost_with_its_zone(tables, flow, now):
