Name the clients of a host's calls once, and what a failed call brings

Found on reading the change again: three calls and a tuple of the same three clients, the same translation of a failure twice, the followers' share of the link set in two places. Behaviour is unchanged.

--- a/citronspring/daemons/store_calls.py
+++ b/citronspring/daemons/store_calls.py
@@ -70,6 +70,7 @@
         self.store = HttpClient(selector, settings.store)
         self.peer = HttpClient(selector, settings.store)
         self.election = HttpClient(selector, settings.store)
+        self.clients = (self.store, self.peer, self.election)
         self.claim_delay = claim_delay(settings.host_id, settings.processor_share)
 
     def take_settings(self, settings: HostSettings) -> None:
@@ -85,11 +86,7 @@
 
     def next_deadline(self) -> float:
         """Return the time at which a call is due, or is given up."""
-        deadlines = [
-            client.next_deadline()
-            for client in (self.store, self.peer, self.election)
-            if client.busy
-        ]
+        deadlines = [one.next_deadline() for one in self.clients if one.busy]
         if not self.reading:
             deadlines.append(self.core.tables.reader.call_at)
         if not self.election.busy:
@@ -98,9 +95,8 @@
 
     def run(self, now: float) -> None:
         """Give up calls whose time has passed, and make those that are due."""
-        self.store.check_deadline(now)
-        self.peer.check_deadline(now)
-        self.election.check_deadline(now)
+        for client in self.clients:
+            client.check_deadline(now)
         if not self.reading:
             self.read(now)
         if not self.election.busy:
@@ -144,7 +140,7 @@
     def decode(self, call: StoreCall, status: int, body: bytes) -> StoreAnswer:
         """Translate what came back of a call."""
         if status == 0:
-            return Unanswered(body.decode(errors="replace"))
+            return unanswered(body)
         match call:
             case ReadPeer():
                 return decode_copy(status, body)
@@ -178,7 +174,7 @@
     ) -> ElectionAnswer:
         """Translate what came back of such a call."""
         if status == 0:
-            return Unanswered(body.decode(errors="replace"))
+            return unanswered(body)
         return self.translation.decode_election_answer(call, status, body)
 
     def take_election(
@@ -190,6 +186,11 @@
         self.perform(actions, now)
 
 
+def unanswered(cause: bytes) -> Unanswered:
+    """Return that a call brought nothing, with the client's word on why."""
+    return Unanswered(cause.decode(errors="replace"))
+
+
 def news_request(call: FollowReader) -> HttpRequest:
     """Return the request for what a reader has read."""
     wait = round(call.wait * MILLISECONDS)
--- a/citronspring/daemons/token_host.py
+++ b/citronspring/daemons/token_host.py
@@ -95,7 +95,7 @@
         self.core = TokenBalancer.from_config(
             settings.host_id, settings.zone, times_of(settings), len(settings.peers)
         )
-        self.core.tables.news.rate = LINK_SHARE * settings.link_rate
+        self.share_link(settings)
         # Until packets are read, the first turn lasts: what then has waited since the
         # start for longer than a pause is too old to be placed.
         self.core.begin_turn(self.started_at)
@@ -117,6 +117,10 @@
         self.settings_version = translation.settings_version()
         self.settings_check_at = self.started_at + SETTINGS_INTERVAL
 
+    def share_link(self, settings: HostSettings) -> None:
+        """Set what followers may take of the host's link."""
+        self.core.tables.news.rate = LINK_SHARE * settings.link_rate
+
     def bind_packets(self) -> socket.socket:
         """Return the socket that callers' packets come to."""
         sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -324,7 +328,7 @@
         self.write(SETTINGS_READ.number, {"changed": changed})
         self.settings = settings
         self.calls.take_settings(settings)
-        self.core.tables.news.rate = LINK_SHARE * settings.link_rate
+        self.share_link(settings)
         self.core.times = times_of(settings)
 
     def on_dump(self, number: int, frame: object) -> None:
