Tell the starts of a target apart; take no entry that another program wrote

Cause: entries were decoded leniently (a state that is neither of the two known ones counted as serving, a truth value as a number of slots), and two starts of a target under one id were one target: flows that died with the first kept new ones away, and a write of the first that took effect late would have replaced the second.

Now an entry needs every field with its type; one that cannot be used is a typed message of its own, handed on to followers like any other, and leaves the last good entry of that id in force unless it names a later start. A later start gets a new row: flows, silence and avoidance of the old one go.

Ruled out: dropping the last good entry with the unreadable one. The target writes its entry anew within a heartbeat, and another program could end a service by writing.

The tests of the adapter that looked into the table of unreadable entries now look at the entries themselves, as strict as before.

--- a/citronspring/events.py
+++ b/citronspring/events.py
@@ -199,6 +199,12 @@
     "An entry of the store cannot be read; what was known before stays in force.",
     "Look at the entry; the reason names the field.",
 )
+TARGET_RESTARTED = Event(
+    615,
+    "target-restarted",
+    Level.INFO,
+    "A target has started again under its id; the flows it had are over.",
+)
 STORE_LOST = Event(
     620,
     "store-lost",
--- a/citronspring/platform/records.py
+++ b/citronspring/platform/records.py
@@ -31,8 +31,28 @@
 #: Requests of this kind may run twice.
 IDEMPOTENT_KIND = "idempotent"
 
-#: A target in this state is about to stop.
-LEAVING_STATE = "draining"
+#: What a target says of itself: whether it is about to stop.
+LEAVING_BY_STATE = {"ready": False, "draining": True}
+
+#: Fields that an entry of a target must have, with their types. They are checked
+#: though not all are used: other programs write under the same keys, and what only
+#: looks like a target would be given flows.
+TARGET_FIELDS: dict[str, tuple[type, ...]] = {
+    "service": (str,),
+    "addr": (str,),
+    "zone": (str,),
+    "version": (str,),
+    "concurrency": (int,),
+    "state": (str,),
+    "seq": (int,),
+    "warmup_left_ms": (int, float),
+}
+
+#: Names the start of a target; targets of older releases do not write it.
+START_FIELD = "born"
+
+#: Longest time in seconds that a target can say it stays slow: a day.
+LONGEST_WARMUP = 86_400.0
 
 #: Hexadecimal digits, for the number within a target's id.
 HEX_DIGITS = frozenset("0123456789abcdef")
@@ -40,7 +60,14 @@
 MILLISECOND = 0.001
 
 #: What decoding raises when a value has another shape than the pages say.
-UNUSABLE = (AttributeError, KeyError, IndexError, TypeError, ValueError)
+UNUSABLE = (
+    AttributeError,
+    KeyError,
+    IndexError,
+    OverflowError,
+    TypeError,
+    ValueError,
+)
 
 
 def decode_entry(
@@ -66,7 +93,7 @@
     """Return the object in a value."""
     try:
         found = json.loads(value)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise StoredValueError(f"the value is no JSON: {error}") from error
     if not isinstance(found, dict):
         raise StoredValueError("the value is no object")
@@ -108,21 +135,52 @@
 def decode_target(target_id: str, body: dict[str, Any], revision: int) -> Target:
     """Translate what a target registered."""
     try:
+        check_target_fields(body)
         return Target(
             target_id=target_id,
             incarnation=incarnation_of(target_id),
             endpoint=endpoint_of(body["addr"]),
             service=body["service"],
             zone=body["zone"],
-            slots=max(1, int(body["concurrency"])),
-            leaving=body["state"] == LEAVING_STATE,
-            warmup=float(body["warmup_left_ms"]) * MILLISECOND,
+            slots=max(1, body["concurrency"]),
+            leaving=LEAVING_BY_STATE[body["state"]],
+            warmup=warmup_of(body["warmup_left_ms"]),
             revision=revision,
+            started=start_of(body),
         )
     except UNUSABLE as error:
         raise StoredValueError(f"the target is not valid: {error!r}") from error
 
 
+def check_target_fields(body: dict[str, Any]) -> None:
+    """Raise ValueError if a field of a target is missing or of another type."""
+    for name, types in TARGET_FIELDS.items():
+        if not has_type(body.get(name), types):
+            raise ValueError(f"{name} is {body.get(name)!r:.40}")
+    if START_FIELD in body and start_of(body) is None:
+        raise ValueError(f"{START_FIELD} is {body[START_FIELD]!r:.40}")
+
+
+def has_type(value: object, types: tuple[type, ...]) -> bool:
+    """Whether a value has one of some JSON types; a truth value is no number."""
+    return isinstance(value, types) and not isinstance(value, bool)
+
+
+def start_of(body: dict[str, Any]) -> int | None:
+    """Return which start of a target an entry is of, None if it does not say."""
+    started = body.get(START_FIELD)
+    if isinstance(started, int) and not isinstance(started, bool):
+        return started
+    return None
+
+
+def warmup_of(milliseconds: float) -> float:
+    """Return how long a target stays slow, in seconds."""
+    if not 0 <= milliseconds <= LONGEST_WARMUP / MILLISECOND:
+        raise ValueError(f"a target cannot stay slow for {milliseconds!r:.40} ms")
+    return milliseconds * MILLISECOND
+
+
 def decode_reader(zone: str, body: dict[str, Any], revision: int) -> ZoneReader:
     """Translate what the reader of a zone registered."""
     try:
--- a/citronspring/platform/store.py
+++ b/citronspring/platform/store.py
@@ -13,6 +13,8 @@
     TARGET_PREFIX,
     UNUSABLE,
     decode_entry,
+    parse,
+    start_of,
 )
 from citronspring.tokens.messages import (
     Changes,
@@ -24,6 +26,7 @@
     Removed,
     StoreAnswer,
     Unanswered,
+    Unreadable,
     WatchEntries,
 )
 
@@ -83,19 +86,17 @@
 def decode_page(body: dict[str, Any]) -> Page:
     """Translate one page of a range."""
     entries: list[Entry] = []
-    unreadable: dict[str, str] = {}
     for item in body["items"]:
-        entry = decode_item(item, unreadable)
+        entry = decode_item(item)
         if entry is not None:
             entries.append(entry)
     next_key = body["items"][-1]["key"] if body["has_more"] else None
-    return Page(tuple(entries), int(body["store_revision"]), next_key, unreadable)
+    return Page(tuple(entries), int(body["store_revision"]), next_key)
 
 
 def decode_changes(body: dict[str, Any]) -> Changes:
     """Translate the events of a watch."""
     changes: list[Change] = []
-    unreadable: dict[str, str] = {}
     revision = None
     for event in body["events"]:
         revision = int(event["revision"])
@@ -104,10 +105,10 @@
             if removed is not None:
                 changes.append(removed)
             continue
-        entry = decode_item(event, unreadable)
+        entry = decode_item(event)
         if entry is not None:
             changes.append(entry)
-    return Changes(tuple(changes), revision, unreadable)
+    return Changes(tuple(changes), revision)
 
 
 def decode_removal(key: str, revision: int) -> Removed | ReaderRemoved | None:
@@ -119,11 +120,21 @@
     return None
 
 
-def decode_item(item: dict[str, Any], unreadable: dict[str, str]) -> Entry | None:
-    """Translate an item; one that cannot be read is noted under its target's id."""
-    key = item["key"]
+def decode_item(item: dict[str, Any]) -> Entry | None:
+    """Translate an item; one that cannot be read is named with the reason."""
+    key, revision = item["key"], int(item["revision"])
+    value = b""
     try:
-        return decode_entry(key, b64decode(item["value"]), int(item["revision"]))
+        value = b64decode(item["value"])
+        return decode_entry(key, value, revision)
     except (StoredValueError, ValueError) as error:
-        unreadable[key.removeprefix(TARGET_PREFIX)] = str(error)
+        name = key.removeprefix(TARGET_PREFIX)
+        return Unreadable(name, str(error), revision, start_in(value))
+
+
+def start_in(value: bytes) -> int | None:
+    """Return which start of a target an unreadable value names, None for none."""
+    try:
+        return start_of(parse(value))
+    except StoredValueError:
         return None
--- a/citronspring/tokens/copies.py
+++ b/citronspring/tokens/copies.py
@@ -108,4 +108,11 @@
         bool(body["leaving"]),
         float(body["warmup"]),
         int(body["revision"]),
+        start_of(body),
     )
+
+
+def start_of(body: dict[str, Any]) -> int | None:
+    """Return which start of a target plain values are of, None if they do not say."""
+    started = body.get("started")
+    return None if started is None else int(started)
--- a/citronspring/tokens/entities.py
+++ b/citronspring/tokens/entities.py
@@ -88,6 +88,9 @@
     warmup: float
     #: Revision of the store at which the entry last changed.
     revision: int
+    #: Millisecond of the wall clock at which this start of the target began; tells
+    #: two starts under one id apart. None where the entry does not say.
+    started: int | None = None
 
 
 @record
--- a/citronspring/tokens/messages.py
+++ b/citronspring/tokens/messages.py
@@ -5,7 +5,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
-from citronspring.records import field, record
+from citronspring.records import record
 
 if TYPE_CHECKING:
     from citronspring.endpoints import Endpoint
@@ -131,6 +131,18 @@
     revision: int
 
 
+@record
+class Unreadable:
+    """An entry that names nothing to use, as another program may have written it."""
+
+    #: Id of the target, or the key of another entry.
+    name: str
+    reason: str
+    revision: int
+    #: See `Target.started`; None if that cannot be read either.
+    started: int | None = None
+
+
 @record
 class Page:
     """Entries of one page, in the order of their keys."""
@@ -140,9 +152,6 @@
     revision: int
     #: Key after which the next page starts; None after the last one.
     next_key: str | None
-    #: Keys whose entries could not be decoded, each with the reason. What was
-    #: known of them before stays in force.
-    unreadable: dict[str, str] = field(default_factory=dict)
 
 
 @record
@@ -153,7 +162,6 @@
     #: Revision of the last of them; None if nothing has changed. An answer without
     #: news never moves a watch on: were it wrong, changes would be missed for good.
     revision: int | None
-    unreadable: dict[str, str] = field(default_factory=dict)
 
 
 @record
@@ -288,7 +296,9 @@
 
 if TYPE_CHECKING:
     #: What an entry of the store holds, and what a change of one brings.
-    Entry = Configuration | Target | ZoneReader
+    Entry = Configuration | Target | ZoneReader | Unreadable
     Change = Entry | Removed | ReaderRemoved
     #: The same as hosts hand it on.
-    News = ConfigurationChange | Target | ZoneReader | Removed | ReaderRemoved
+    News = (
+        ConfigurationChange | Target | ZoneReader | Unreadable | Removed | ReaderRemoved
+    )
--- a/citronspring/tokens/news.py
+++ b/citronspring/tokens/news.py
@@ -14,6 +14,7 @@
     decode_target,
     plain_route,
     plain_target,
+    start_of,
 )
 from citronspring.tokens.entities import Target, ZoneReader
 from citronspring.tokens.messages import (
@@ -24,6 +25,7 @@
     Refused,
     Removed,
     Unanswered,
+    Unreadable,
 )
 
 if TYPE_CHECKING:
@@ -150,10 +152,13 @@
             }
         case Target():
             return {"target": plain_target(change, change.warmup)}
+        case Unreadable():
+            names: tuple[str, ...] = Unreadable.__match_args__
+            return {"unreadable": {name: getattr(change, name) for name in names}}
         case Removed():
             return {"removed": change.target_id, "revision": change.revision}
         case ZoneReader():
-            names: tuple[str, ...] = ZoneReader.__match_args__
+            names = ZoneReader.__match_args__
             return {"reader": {name: getattr(change, name) for name in names}}
         case ReaderRemoved():
             return {"reader_removed": change.zone, "revision": change.revision}
@@ -191,6 +196,14 @@
         )
     if "target" in body:
         return decode_target(body["target"])
+    if "unreadable" in body:
+        found = body["unreadable"]
+        return Unreadable(
+            str(found["name"]),
+            str(found["reason"]),
+            int(found["revision"]),
+            start_of(found),
+        )
     if "reader" in body:
         return decode_zone_reader(body["reader"])
     if "reader_removed" in body:
--- a/citronspring/tokens/reader.py
+++ b/citronspring/tokens/reader.py
@@ -6,7 +6,6 @@
 
 from citronspring.events import (
     COPY_TAKEN,
-    ENTRY_UNREADABLE,
     STORE_HISTORY_LOST,
     STORE_LOST,
     STORE_REGAINED,
@@ -227,7 +226,6 @@
     reader.listed = False
     reader.next_key = ""
     reader.list_entries = []
-    reader.list_unreadable = set()
 
 
 def take_page(
@@ -238,21 +236,12 @@
     if reader.next_key == "":
         reader.list_revision = page.revision
         reader.list_sent_at = sent_at
-    log_unreadable(page.unreadable, actions)
     reader.list_entries += page.entries
-    reader.list_unreadable.update(page.unreadable)
     reader.call_at = now
     if page.next_key is not None:
         reader.next_key = page.next_key
         return
-    apply_list(
-        tables,
-        reader.list_entries,
-        reader.list_unreadable,
-        reader.list_revision,
-        now,
-        actions,
-    )
+    apply_list(tables, reader.list_entries, reader.list_revision, now, actions)
     # The pages are no snapshot: the watch begins where the first one stood, and
     # brings again what changed meanwhile.
     reader.revision = max(reader.revision, reader.list_revision)
@@ -275,7 +264,7 @@
     """
     reader = tables.reader
     entries: list[Entry] = [copy.configuration, *copy.targets]
-    apply_list(tables, entries, set(), copy.revision, now, actions)
+    apply_list(tables, entries, copy.revision, now, actions)
     start_list(tables)
     reader.listed = True
     reader.revision = max(reader.revision, copy.revision)
@@ -299,7 +288,6 @@
     actions: list[Action],
 ) -> None:
     """Put the news of a watch in force, oldest first."""
-    log_unreadable(answer.unreadable, actions)
     for change in answer.changes:
         apply_change(tables, change, now, actions)
     reader = tables.reader
@@ -354,10 +342,3 @@
     reader.overdue = True
     reader.call_at = now + retry
     tables.counters["store-failures"] += 1
-
-
-def log_unreadable(unreadable: dict[str, str], actions: list[Action]) -> None:
-    """Log each entry that could not be decoded."""
-    for key, reason in unreadable.items():
-        fields: dict[str, object] = {"entry": key, "reason": reason}
-        actions.append(Log(ENTRY_UNREADABLE.number, fields))
--- a/citronspring/tokens/revisions.py
+++ b/citronspring/tokens/revisions.py
@@ -7,9 +7,11 @@
 
 from citronspring.events import (
     CONFIGURATION_APPLIED,
+    ENTRY_UNREADABLE,
     READER_CHANGED,
     TARGET_CHANGED,
     TARGET_REMOVED,
+    TARGET_RESTARTED,
     TOKEN_TAKEN,
 )
 from citronspring.tokens.entities import (
@@ -18,11 +20,13 @@
     ZoneReader,
     token_of,
 )
+from citronspring.tokens.flows import close_flow
 from citronspring.tokens.messages import (
     ConfigurationChange,
     Log,
     ReaderRemoved,
     Removed,
+    Unreadable,
 )
 from citronspring.tokens.tables import TargetRow
 
@@ -63,6 +67,8 @@
             news = remove_target(tables, change, now, actions)
         case Target():
             news = apply_target(tables, change, now, actions)
+        case Unreadable():
+            news = apply_unreadable(tables, change, now, actions)
     if news:
         tables.news.fresh.append(change)
 
@@ -174,8 +180,10 @@
     row = tables.targets.get(target.target_id)
     if row is None:
         row = add_target(tables, target, actions)
-    elif is_old(row, target):
+    elif is_old(row, target) or of_earlier_start(row, target):
         return False
+    elif of_later_start(row, target.started):
+        row = replace_start(tables, row, target, actions)
     was_leaving = row.target.leaving
     returned = row.gone_at != math.inf
     row.target = target
@@ -194,6 +202,67 @@
     return target.revision <= row.target.revision
 
 
+def of_earlier_start(row: TargetRow, target: Target) -> bool:
+    """Whether an entry is not of the start of the target that is known.
+
+    A write may take effect seconds after its writer has ended. One of the start before
+    would bring back an address or a state that nobody has; and a program that does not
+    say which start it speaks for cannot replace what one that does has said.
+    """
+    known = row.target.started
+    return known is not None and (target.started is None or target.started < known)
+
+
+def of_later_start(row: TargetRow, started: int | None) -> bool:
+    """Whether a start of a target came after the one that is known."""
+    known = row.target.started
+    return known is not None and started is not None and started > known
+
+
+def replace_start(
+    tables: Tables, row: TargetRow, target: Target, actions: list[Action]
+) -> TargetRow:
+    """Put a new row in place of that of a target's earlier start.
+
+    The new start holds no flow and has not been silent: counted on, flows that died
+    with the old one would keep new ones away from it. A packet of such a flow is still
+    forwarded, and the target itself resets it.
+    """
+    flows = [key for key, flow in tables.flows.items() if flow.target is row]
+    for key in flows:
+        close_flow(tables, key, tables.flows[key])
+    rows = tables.by_service.get(row.target.service, [])
+    if row in rows:
+        rows.remove(row)
+    if tables.by_token.get(row.token) is row:
+        del tables.by_token[row.token]
+    fields: dict[str, object] = {
+        "target": target.target_id,
+        "started": target.started,
+        "before": row.target.started,
+        "flows": len(flows),
+    }
+    actions.append(Log(TARGET_RESTARTED.number, fields))
+    return add_target(tables, target, actions)
+
+
+def apply_unreadable(
+    tables: Tables, entry: Unreadable, now: float, actions: list[Action]
+) -> bool:
+    """Take that an entry names nothing to use; return whether that was news.
+
+    What was known of the target stays in force: it writes its entry anew within a
+    heartbeat, and other programs must not be able to take its flows away. Unless the
+    entry shows that it has started again; then what was known has ended.
+    """
+    fields: dict[str, object] = {"entry": entry.name, "reason": entry.reason}
+    actions.append(Log(ENTRY_UNREADABLE.number, fields))
+    row = tables.targets.get(entry.name)
+    if row is None or not of_later_start(row, entry.started):
+        return False
+    return remove_target(tables, Removed(entry.name, entry.revision), now, actions)
+
+
 def add_target(tables: Tables, target: Target, actions: list[Action]) -> TargetRow:
     """Make the row of a target that was not known."""
     row = TargetRow(target, token_of(target.incarnation))
@@ -262,7 +331,6 @@
 def apply_list(
     tables: Tables,
     entries: Iterable[Entry],
-    unreadable: set[str],
     revision: int,
     now: float,
     actions: list[Action],
@@ -275,8 +343,6 @@
         All state.
     entries : iterable
         Every entry of the list.
-    unreadable : set of str
-        Targets whose entries are there and could not be decoded.
     revision : int
         Revision of the store before the first page was read. A target that was
         registered later may be on no page and is kept.
@@ -285,7 +351,7 @@
     actions : list of Action
         Takes what is to be done.
     """
-    listed = set(unreadable)
+    listed = set()
     zones = set()
     for entry in entries:
         apply_change(tables, entry, now, actions)
@@ -294,6 +360,8 @@
                 listed.add(entry.target_id)
             case ZoneReader():
                 zones.add(entry.zone)
+            case Unreadable():
+                listed.add(entry.name)
     for target_id, row in list(tables.targets.items()):
         if target_id not in listed and row.target.revision <= revision:
             apply_change(tables, Removed(target_id, revision), now, actions)
--- a/citronspring/tokens/tables.py
+++ b/citronspring/tokens/tables.py
@@ -17,7 +17,7 @@
         Target,
         ZoneReader,
     )
-    from citronspring.tokens.messages import News
+    from citronspring.tokens.messages import Entry, News
 
 #: Flows a host keeps a row of; the others are forwarded by their token alone. At
 #: about 500 bytes a row this is 25 MB of the 120 MB that the smallest host has.
@@ -114,10 +114,7 @@
     overdue: bool = False
     #: Pages of the list under way: revision of the first, and what was read.
     list_revision: int = 0
-    list_entries: list[Configuration | Target | ZoneReader] = field(
-        default_factory=list
-    )
-    list_unreadable: set[str] = field(default_factory=set)
+    list_entries: list[Entry] = field(default_factory=list)
     list_sent_at: float = 0.0
     next_key: str = ""
 
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -20,6 +20,7 @@
     Refused,
     Removed,
     Unanswered,
+    Unreadable,
     WatchEntries,
 )
 
@@ -118,6 +119,51 @@
     assert (entry.warmup, entry.revision) == (1.5, 12)
 
 
+def test_decodes_which_start_of_a_target_speaks():
+    entry = only_entry(page(item("servers/i-1", {**TARGET, "born": 1764720000000})))
+    assert entry.started == 1764720000000
+    assert only_entry(page(item("servers/i-1", TARGET))).started is None
+
+
+def test_unreadable_entry_tells_its_start_where_that_can_be_read():
+    """Another program writes over an entry; the target has started again since."""
+    broken = {**TARGET, "born": 1764720000000, "state": "parked"}
+    assert only_entry(page(item("servers/i-1", broken))).started == 1764720000000
+
+
+@given(
+    st.recursive(
+        st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+        lambda inner: (
+            st.lists(inner, max_size=3)
+            | st.dictionaries(
+                st.sampled_from([*TARGET, "born", "other"]), inner, max_size=9
+            )
+        ),
+    )
+)
+def test_no_entry_of_another_program_costs_the_others(value):
+    """Some program writes any JSON at all under a target's key."""
+    answer = page(item("servers/i-1", value), item("servers/i-2", TARGET))
+    assert answer.entries[-1].target_id == "i-2"
+    if isinstance(answer.entries[0], Target):
+        assert isinstance(value["state"], str)
+
+
+@given(st.binary())
+def test_no_bytes_of_another_program_cost_the_others(value):
+    raw = {"key": "servers/i-1", "value": b64encode(value).decode(), "revision": 3}
+    answer = page(raw, item("servers/i-2", TARGET))
+    assert isinstance(answer.entries[0], Unreadable)
+    assert answer.entries[-1].target_id == "i-2"
+
+
+def test_nesting_beyond_the_parser_is_unreadable():
+    deep = b"[" * 100_000
+    raw = {"key": "servers/i-1", "value": b64encode(deep).decode(), "revision": 3}
+    assert isinstance(only_entry(page(raw)), Unreadable)
+
+
 def test_draining_target_is_leaving():
     entry = only_entry(page(item("servers/i-1", {**TARGET, "state": "draining"})))
     assert entry.leaving
@@ -127,7 +173,6 @@
     answer = page(item("status/host-1", {"x": 1}))
     assert isinstance(answer, Page)
     assert answer.entries == ()
-    assert answer.unreadable == {}
 
 
 def test_next_page_starts_after_the_last_key():
@@ -147,6 +192,22 @@
         ("servers/i-1", {**TARGET, "addr": "nowhere"}),
         ("servers/i-1", {**TARGET, "addr": "10.0.0.1:99999"}),
         ("servers/i-1", {**TARGET, "concurrency": None}),
+        ("servers/i-1", {**TARGET, "concurrency": "2"}),
+        ("servers/i-1", {**TARGET, "concurrency": True}),
+        ("servers/i-1", {**TARGET, "state": "parked"}),
+        ("servers/i-1", {**TARGET, "state": ["ready"]}),
+        ("servers/i-1", {**TARGET, "service": 7}),
+        ("servers/i-1", {**TARGET, "zone": None}),
+        ("servers/i-1", {**TARGET, "warmup_left_ms": 1e999}),
+        ("servers/i-1", {**TARGET, "warmup_left_ms": float("nan")}),
+        ("servers/i-1", {**TARGET, "warmup_left_ms": 10**400}),
+        ("servers/i-1", {**TARGET, "warmup_left_ms": -1}),
+        ("servers/i-1", {**TARGET, "seq": "4"}),
+        ("servers/i-1", {**TARGET, "born": "1764720000000"}),
+        ("servers/i-1", {**TARGET, "born": 1764720000000.5}),
+        ("servers/i-1", {**TARGET, "born": None}),
+        ("servers/i-1", {**TARGET, "addr": 8080}),
+        ("servers/i-1", {"addr": TARGET["addr"], "service": "huvo11a"}),
         ("servers/i-xyz", TARGET),
         ("servers/i-0", TARGET),
         ("servers/i-11112222333344445", TARGET),
@@ -158,13 +219,15 @@
     The process must neither end nor lose the entries beside it.
     """
     answer = page(item(key, value), item("servers/i-2", TARGET))
-    assert [entry.target_id for entry in answer.entries] == ["i-2"]
-    assert list(answer.unreadable) == [key.removeprefix("servers/")]
+    unreadable, good = answer.entries
+    assert isinstance(unreadable, Unreadable)
+    assert unreadable.name == key.removeprefix("servers/")
+    assert good.target_id == "i-2"
 
 
 def test_value_that_is_no_base64_is_unreadable():
     broken = {"key": "servers/i-1", "value": "%", "revision": 1}
-    assert "i-1" in page(broken).unreadable
+    assert only_entry(page(broken)).name == "i-1"
 
 
 def test_decodes_changes_and_removals():
--- a/tests/test_tokens/driver.py
+++ b/tests/test_tokens/driver.py
@@ -24,6 +24,7 @@
     Removed,
     ResetCaller,
     Unanswered,
+    Unreadable,
 )
 from citronspring.tokens.reader import ReaderTimes
 
@@ -76,13 +77,17 @@
     def tables(self):
         return self.core.tables
 
-    def list_store(self, *entries, revision=None, unreadable=None):
+    def list_store(self, *entries, revision=None, unreadable=()):
         """Have the host read the store as a whole."""
         self.now = max(self.now, self.tables.reader.call_at)
         self.call = self.core.next_call(self.now)
         assert self.call == ListEntries()
         revision = revision or self.revision
-        self.answer(Page(tuple(entries), revision, None, unreadable or {}))
+        entries += tuple(
+            Unreadable(name, reason, revision)
+            for name, reason in dict(unreadable).items()
+        )
+        self.answer(Page(entries, revision, None))
 
     def answer(self, answer, sent_at=None):
         """Give the core the answer to its call."""
--- /dev/null
+++ b/tests/test_tokens/test_restarts.py
@@ -0,0 +1,148 @@
+"""Targets that start again under their id, and entries that others have written."""
+
+from __future__ import annotations
+
+from citronspring.tokens.copies import decode_target, plain_target
+from citronspring.tokens.messages import Forward, Unreadable
+from citronspring.tokens.news import decode_change, plain_change
+from tests.test_tokens.driver import ORDERS, Driver, make_target, target_of
+
+FIRST_START = 1_764_720_000_000
+SECOND_START = FIRST_START + 5_000
+
+
+def first_and_other():
+    """Return a host that knows two targets, each in its first start."""
+    return Driver(
+        make_target(1, started=FIRST_START), make_target(2, started=FIRST_START)
+    )
+
+
+def restart(driver, number=1, **fields):
+    """Have a target register after it has started again."""
+    revision = driver.revision + 1
+    target = make_target(number, started=SECOND_START, revision=revision, **fields)
+    driver.change(target)
+
+
+class TestNewStart:
+    def test_what_was_believed_of_the_old_start_goes(self):
+        """A target crashes under its flows and starts again at once, under its id.
+
+        Its entry never left the store. Counted on, dead flows and their silence
+        would keep new flows away from an empty target.
+        """
+        driver = Driver(make_target(1, started=FIRST_START))
+        caller = driver.caller(1, ORDERS)
+        caller.connect()
+        caller.ask()
+        for _ in range(4):
+            driver.now += 0.2
+            caller.ask_again()
+        assert driver.tables.targets["i-1"].avoid_until > driver.now
+        restart(driver)
+        row = driver.tables.targets["i-1"]
+        assert (row.flows, row.busy, row.silences, row.avoid_until) == (0, 0, 0, 0.0)
+        assert driver.tables.flows == {}
+        assert driver.tables.by_service["previews"] == [row]
+
+    def test_packet_of_a_flow_of_the_old_start_goes_to_the_target(self):
+        """A caller goes on with a flow that died with the target's earlier start.
+
+        The target itself says that it does not know the flow; a host that dropped
+        the packet would leave the caller to its deadline. The address is the new one.
+        """
+        driver = Driver(make_target(1, started=FIRST_START))
+        caller = driver.caller(1)
+        caller.connect()
+        moved = make_target(9).endpoint
+        restart(driver, endpoint=moved)
+        action = caller.ask()
+        assert isinstance(action, Forward)
+        assert action.target.target.endpoint == moved
+
+    def test_new_flows_reach_it(self):
+        driver = first_and_other()
+        restart(driver)
+        driver.remove(2)
+        assert target_of(driver.caller(1).open()) == "i-1"
+
+    def test_late_write_of_the_old_start_changes_nothing(self):
+        """The old start's report that it leaves was lost, and is done seconds later.
+
+        It comes with a newer revision than the entry of the start that serves. Taken,
+        the target would be given nothing until its next change.
+        """
+        driver = first_and_other()
+        restart(driver)
+        late = make_target(1, started=FIRST_START, leaving=True, revision=9)
+        driver.revision = 8
+        driver.change(late)
+        assert not driver.tables.targets["i-1"].target.leaving
+
+    def test_same_start_changes_without_losing_what_is_known(self):
+        driver = Driver(make_target(1, started=FIRST_START))
+        driver.caller(1).connect()
+        driver.change(make_target(1, started=FIRST_START, leaving=True, revision=2))
+        row = driver.tables.targets["i-1"]
+        assert row.target.leaving
+        assert row.flows == 1
+
+    def test_target_that_says_nothing_of_its_start_is_used(self):
+        driver = Driver(make_target(1))
+        driver.change(make_target(1, leaving=True, revision=2))
+        assert driver.tables.targets["i-1"].target.leaving
+
+    def test_start_is_handed_on_to_followers_and_peers(self):
+        target = make_target(1, started=FIRST_START)
+        assert decode_change(plain_change(target)).started == FIRST_START
+        assert decode_target(plain_target(target, 0.0)).started == FIRST_START
+
+    def test_copy_of_an_older_release_names_no_start(self):
+        plain = plain_target(make_target(1), 0.0)
+        del plain["started"]
+        assert decode_target(plain).started is None
+
+
+class TestUnreadable:
+    def test_last_good_entry_stays_in_force(self):
+        """Another program writes over the entry of a target that serves.
+
+        The target writes it anew within a heartbeat. Until then its flows go on, and
+        those of all others.
+        """
+        driver = first_and_other()
+        caller = driver.caller(1)
+        row = caller.connect()
+        driver.change(Unreadable(row.target.target_id, "no JSON", 2))
+        assert isinstance(caller.ask(), Forward)
+        assert row in driver.tables.by_service["previews"]
+
+    def test_entry_of_a_later_start_ends_what_was_known(self):
+        """The entry cannot be read, but shows that the target has started again.
+
+        Its last good entry speaks of a start that is over.
+        """
+        driver = first_and_other()
+        driver.change(Unreadable("i-1", "state is 'parked'", 2, SECOND_START))
+        assert target_of(driver.caller(1).open()) == "i-2"
+
+    def test_entry_of_an_unknown_id_names_no_target(self):
+        driver = first_and_other()
+        driver.change(Unreadable("i-7", "no JSON", 2))
+        assert "i-7" not in driver.tables.targets
+        assert len(driver.tables.by_service["previews"]) == 2
+
+    def test_entry_without_a_start_replaces_none_that_names_one(self):
+        """Another program writes an entry that looks like a target's, for its id."""
+        driver = Driver(make_target(1, started=FIRST_START))
+        foreign = make_target(1, endpoint=make_target(9).endpoint, revision=2)
+        driver.change(foreign)
+        row = driver.tables.targets["i-1"]
+        assert row.target.endpoint == make_target(1).endpoint
+
+    def test_followers_hear_of_it(self):
+        entry = Unreadable("i-1", "no JSON", 7, SECOND_START)
+        found = decode_change(plain_change(entry))
+        assert (found.name, found.reason) == ("i-1", "no JSON")
+        assert (found.revision, found.started) == (7, SECOND_START)
