Ask for an overdue copy also before a whole zone counts as lost

Losses come together while the host's own link is full.

Now the first copy into the zone must be 50 ms old, as for a single target.

Ruled out: the rule of two copies of one request, which none of the logged resets used.

--- a/citronspring/tokens/evidence.py
+++ b/citronspring/tokens/evidence.py
@@ -110,6 +110,9 @@
     row = flow.target
     flow.repeats += 1
     note_silence(tables, row, flow.asked_at, now)
+    zone = tables.zone_row(row.target.zone)
+    if zone.first_repeated_at <= zone.answered_at:
+        zone.first_repeated_at = now
     if flow.repeats == 1:
         note_repeated(tables.own_path, row, flow.asked_at, now)
     if flow.repeats == 1 and flow.asked_at >= row.answered_at:
@@ -180,5 +183,9 @@
         return False
     if not row.silences or row.silent_since <= zone.answered_at:
         return False
-    several = zone.suspect_until > now and zone.silent_targets >= CERTAIN_TARGETS
-    return several or flow.repeats >= CERTAIN_COPIES
+    if flow.repeats >= CERTAIN_COPIES:
+        return True
+    # What went out at one moment may have been lost at one moment, see `COPY_ANSWER`.
+    overdue = now - zone.first_repeated_at >= COPY_ANSWER
+    several = zone.silent_targets >= CERTAIN_TARGETS
+    return overdue and several and zone.suspect_until > now
--- a/citronspring/tokens/tables.py
+++ b/citronspring/tokens/tables.py
@@ -66,12 +66,23 @@
     answered_at: float = -math.inf
     #: When the newest of what its targets have answered was sent.
     answered_sent_at: float = -math.inf
+    #: When a request to one of its targets was first sent again since it answered.
+    first_repeated_at: float = -math.inf
     #: Time until which no target of the zone is believed to be in reach.
     suspect_until: float = 0.0
     #: Targets of it that are silent, with no answer from the zone since.
     silent_targets: int = 0
 
 
+@record
+class ServiceRow:
+    """How long requests of a service take, as this host sees it."""
+
+    #: Median seconds from a request to its answer, of the newest requests.
+    median_delay: float = 0.0
+    answered_at: float = -math.inf
+
+
 @record
 class FlowRow:
     """A flow whose packets pass here; none is needed to forward them."""
@@ -205,6 +216,9 @@
     #: Targets of each service that are registered, leaving ones too.
     by_service: dict[str, list[TargetRow]] = field(default_factory=dict)
     zones: dict[str, ZoneRow] = field(default_factory=dict)
+    services: dict[str, ServiceRow] = field(default_factory=dict)
+    #: Largest priority number of a route, which is the least urgent one's.
+    least_priority: int = 0
     flows: dict[bytes, FlowRow] = field(default_factory=dict)
     own_path: OwnPath = field(default_factory=OwnPath)
     #: Deadlines of openings as (time, flow); a heap.
@@ -235,3 +249,10 @@
         if row is None:
             row = self.zones[zone] = ZoneRow()
         return row
+
+    def service_row(self, service: str) -> ServiceRow:
+        """Return the row of a service, made when it is first heard of."""
+        row = self.services.get(service)
+        if row is None:
+            row = self.services[service] = ServiceRow()
+        return row
--- a/tests/test_tokens/test_evidence.py
+++ b/tests/test_tokens/test_evidence.py
@@ -188,8 +188,27 @@
         driver.now += 0.2
         assert isinstance(callers[0].ask_again(), Forward)
         assert isinstance(callers[1].ask_again(), Forward)
+        driver.now += 0.06
         assert reason_of(callers[2].ask_again()) is ResetReason.TARGET_UNREACHABLE
 
+    def test_zone_whose_copies_have_had_no_time_is_not_lost_yet(self):
+        """A burst fills the host's link for 20 ms; what goes to one zone is lost.
+
+        Copies follow 200 ms later, all at once too. The zone's targets live, and have
+        had no time to answer them; a reset would break a flow that goes on.
+        """
+        driver = Driver(*(make_target(number, "south") for number in (1, 2, 3)))
+        callers = [driver.caller(port) for port in range(3)]
+        for caller in callers:
+            caller.connect()
+        driver.now += 0.05
+        for caller in callers:
+            caller.ask()
+        driver.prove_path()
+        driver.now += 0.2
+        for caller in callers:
+            assert isinstance(caller.ask_again(), Forward)
+
     def test_lone_flow_into_a_cut_zone_is_reset_after_two_copies(self):
         """Another zone is cut off; a host has a single preview to it.
 
