Refuse openings at once when their requests would be late

Now a host keeps the median time to answer of each service, and refuses a share of the openings that rises from 0.35 to 0.55 of the route's objective, a quarter later for each step of priority. Copies of an opening and open flows are never refused; after half a second without an answer everybody is let in. Routes carry objective and priority.

The report is imported when it is asked for, which keeps the number of modules at start.

--- a/citronspring/emulator/callers.py
+++ b/citronspring/emulator/callers.py
@@ -175,6 +175,10 @@
             self.unacknowledged = None
         if reply.length and reply.seq == self.ack:
             self.ack = self.ack + reply.length & SEQ_MASK
+            if reply.shed:
+                self.send(FIN | ACK)
+                self.end_try(may_have_run=False)
+                return
             self.finish_request()
         elif reply.length:
             self.send(ACK)
--- a/citronspring/emulator/loads.py
+++ b/citronspring/emulator/loads.py
@@ -57,6 +57,25 @@
     return plan
 
 
+def slow_in_burst(factor: float) -> Load:
+    """Return a burst within which a third of the targets is ten times slower."""
+
+    def plan(world: World) -> None:
+        burst(factor)(world)
+        start = LEAD + BURST_AT
+        world.clock.at(start, lambda: slow_third(world, 10.0))
+        world.clock.at(start + BURST_SECONDS, lambda: slow_third(world, 1.0))
+
+    return plan
+
+
+def slow_third(world: World, slowness: float) -> None:
+    """Have a third of the targets of the larger service work slower."""
+    for target in list(world.targets.values())[::3]:
+        if target.service == "desk":
+            target.slowness = slowness
+
+
 def crash_two(world: World) -> None:
     """End two targets of the larger service; their entries go later."""
     desk = [one for one in world.targets.values() if one.service == "desk"]
--- a/citronspring/emulator/targets.py
+++ b/citronspring/emulator/targets.py
@@ -20,6 +20,12 @@
 #: Requests that wait for a slot; a target with as many takes no further flow.
 QUEUE = 8
 
+#: Seconds after which a target that sheds load says that it has not run a request.
+SHED_SECONDS = 0.1
+
+#: Bytes of such an answer.
+SHED_BYTES = 100
+
 #: Bytes of every answer.
 ANSWER_BYTES = 900
 
@@ -43,6 +49,8 @@
     length: int = 0
     #: Target that sent it; None for a host.
     sender: int | None = None
+    #: Whether it answers a request that the target has not run.
+    shed: bool = False
 
 
 @dataclass(slots=True)
@@ -79,6 +87,8 @@
     queue: list[tuple[bytes, TargetFlow]] = field(default_factory=list)
     disturbed_at: float = -100.0
     served: int = 0
+    #: Whether it takes flows while its queue is full, and turns requests away then.
+    sheds: bool = False
 
     @property
     def target_id(self) -> str:
@@ -125,7 +135,7 @@
     ) -> None:
         """Answer an opening, unless the queue is full."""
         if flow is None or flow.first_seq != packet.seq:
-            if len(self.queue) >= QUEUE:
+            if len(self.queue) >= QUEUE and not self.sheds:
                 return
             own_seq = self.clock.rng.getrandbits(32)
             next_seq = packet.seq + 1 & SEQ_MASK
@@ -160,9 +170,22 @@
 
     def enqueue(self, key: bytes, flow: TargetFlow) -> None:
         """Have a request wait for a slot."""
+        if self.sheds and len(self.queue) >= QUEUE:
+            self.clock.after(SHED_SECONDS, lambda: self.shed(key, flow))
+            return
         self.queue.append((key, flow))
         self.start_work()
 
+    def shed(self, key: bytes, flow: TargetFlow) -> None:
+        """Answer a request that there was no room for."""
+        if not self.alive or self.flows.get(key) is not flow:
+            return
+        start = flow.own_seq
+        flow.own_seq = start + SHED_BYTES & SEQ_MASK
+        reply = Reply(key, ACK, start, flow.next_seq, flow.token, SHED_BYTES)
+        reply.shed = True
+        self.reply(flow.caller, reply)
+
     def start_work(self) -> None:
         """Start as many requests as there are slots."""
         while self.queue and self.running < self.slots:
--- a/citronspring/emulator/world.py
+++ b/citronspring/emulator/world.py
@@ -60,6 +60,10 @@
     seconds: float = 25.0
     #: Bytes a second that each host's link carries, either way.
     link_rate: float = math.inf
+    #: Seconds within which operators want answers, by the configuration; targets
+    #: turn requests away when they are full.
+    objective: float = math.inf
+    targets_shed: bool = False
 
 
 @dataclass(slots=True)
@@ -130,6 +134,7 @@
         target = EmulatedTarget(
             self.clock, self.network, self.checker, incarnation, service, zone
         )
+        target.sheds = self.sizes.targets_shed
         self.targets[incarnation] = target
         self.store.put_target(target.entry())
         return target
@@ -156,7 +161,11 @@
             service = SERVICES.get(key, "desk")
             idempotent = key != ORDERS and key != UPLOADS
             shares = (Share(service, 1.0),)
-            routes.append(Route(f"route-{key & 0xFFFF}", key, shares, idempotent))
+            name = f"route-{key & 0xFFFF}"
+            priority = 1 if key == ORDERS else 2
+            objective = self.sizes.objective
+            route = Route(name, key, shares, idempotent, objective, priority)
+            routes.append(route)
             self.checker.services.setdefault(key, set()).add(service)
         configuration = Configuration(self.revision, tuple(routes), 15.0)
         self.store.put_configuration(configuration)
--- a/citronspring/events.py
+++ b/citronspring/events.py
@@ -158,7 +158,7 @@
     Level.INFO,
     "An opening was reset at once; it has not run.",
     "no-route: compare the address with the configuration. no-target: look at the "
-    "targets of the service.",
+    "targets of the service. overloaded: its requests would be late; add targets.",
 )
 FLOW_RESET = Event(
     602,
--- a/citronspring/platform/records.py
+++ b/citronspring/platform/records.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from typing import TYPE_CHECKING, Any
 
 from citronspring.errors import StoredValueError
@@ -129,9 +130,16 @@
         key=route_key(address, port),
         shares=shares,
         idempotent=body["route_type"] == IDEMPOTENT_KIND,
+        objective=objective_of(body.get("target_latency_ms")),
+        priority=int(body.get("priority", 0)),
     )
 
 
+def objective_of(milliseconds: float | None) -> float:
+    """Return a latency objective in seconds; infinite where a route has none."""
+    return float(milliseconds) * MILLISECOND if milliseconds else math.inf
+
+
 def decode_target(target_id: str, body: dict[str, Any], revision: int) -> Target:
     """Translate what a target registered."""
     try:
--- /dev/null
+++ b/citronspring/tokens/admission.py
@@ -0,0 +1,100 @@
+"""Whether a new flow is let in, from how long requests of its service take now.
+
+It answers the load under which targets have more work than they can do in time: their
+queues fill, every request waits through a full queue, is late or turned away at its
+end, and comes again. An opening that is refused at once leaves the queue short for
+those that are let in. Refusals rise with the delay, as in random early detection, since
+a limit that all hosts cross together lets in all or nobody by turns.
+
+The time from a request to the first byte of its answer holds the wait behind all hosts'
+requests in the target's queue. So each host sees the whole load in the few requests
+that it sends there, and hosts need not tell each other anything.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from citronspring.tokens.entities import Packet, Route
+    from citronspring.tokens.tables import ServiceRow, Tables
+
+#: How far a request moves the median: ten that all take longer double it, as many as a
+#: small host sees of a busy service in a tenth of a second.
+MEDIAN_STEP = 0.075
+
+#: Least median in seconds: one of 0, as of an answer that came in the same instant,
+#: would stay 0 for ever.
+LEAST_MEDIAN = 0.001
+
+#: Seconds without an answer after which nothing is known of the delay; flows are then
+#: let in, and find out.
+MEDIAN_LASTS = 0.5
+
+#: Median time to answer, as a share of the objective, from which openings are refused,
+#: and that from which all are. Queues of half of the objective keep targets at work;
+#: at three times the callers a target can serve, 0.48 of worth became 0.77. At 0.4 to
+#: 0.55, or by a steeper rise, it was within 0.01; from 0.5 on 0.03 less.
+FIRST_REFUSALS = 0.35
+ALL_REFUSED = 0.55
+
+#: What each step of priority adds to both. Orders, which may run once only and are
+#: worth more, are let in while previews are refused.
+PRIORITY_STEP = 0.25
+
+#: Modulus and multiplier of the draw for an opening.
+DRAWS = 1 << 16
+MULTIPLIER = 0x9E3779B1
+
+
+def note_time_to_answer(service: ServiceRow, seconds: float, now: float) -> None:
+    """Take how long a target of a service took for a request.
+
+    The median moves by a step for each request, however long it took. A third of the
+    targets at a tenth of their speed would double a mean, and flows would be refused
+    that the other targets have room for.
+    """
+    if now - service.answered_at > MEDIAN_LASTS:
+        service.median_delay = max(seconds, LEAST_MEDIAN)
+    elif seconds > service.median_delay:
+        service.median_delay *= 1.0 + MEDIAN_STEP
+    else:
+        lower = service.median_delay * (1.0 - MEDIAN_STEP)
+        service.median_delay = max(lower, LEAST_MEDIAN)
+    service.answered_at = now
+
+
+def admits(
+    tables: Tables, packet: Packet, route: Route, service: str, now: float
+) -> bool:
+    """Whether an opening is let in."""
+    delay = known_delay(tables, service, now)
+    share = refused_share(delay, route, tables.least_priority)
+    draw = (packet.seq * MULTIPLIER >> 8) % DRAWS
+    return draw >= share * DRAWS
+
+
+def known_delay(tables: Tables, service: str, now: float) -> float:
+    """Return the median time to answer of a service, 0 if it is not known now."""
+    row = tables.services.get(service)
+    if row is None or now - row.answered_at > MEDIAN_LASTS:
+        return 0.0
+    return row.median_delay
+
+
+def refused_share(delay: float, route: Route, least_priority: int) -> float:
+    """Return the share of a route's openings that are refused.
+
+    Parameters
+    ----------
+    delay : float
+        Median seconds that requests of the service take.
+    route : Route
+        The route, with its objective and priority.
+    least_priority : int
+        Priority number of the least urgent route.
+    """
+    steps = max(least_priority - route.priority, 0)
+    first = FIRST_REFUSALS + steps * PRIORITY_STEP
+    width = ALL_REFUSED - FIRST_REFUSALS
+    return min(max((delay / route.objective - first) / width, 0.0), 1.0)
--- a/citronspring/tokens/balancer.py
+++ b/citronspring/tokens/balancer.py
@@ -24,7 +24,6 @@
     next_call,
     take_answer,
 )
-from citronspring.tokens.report import dump_state, metrics_text
 from citronspring.tokens.revisions import forget_targets
 from citronspring.tokens.tables import Tables
 
@@ -215,6 +214,9 @@
 
     def dump(self, now: float) -> dict[str, object]:
         """Return the state as plain values, for operators."""
+        # Imported when it is first asked for: each module at start is dark time.
+        from citronspring.tokens.report import dump_state
+
         return dump_state(self.tables, now)
 
     def copy(self, now: float) -> tuple[int, str]:
@@ -223,4 +225,6 @@
 
     def metrics(self, now: float) -> str:
         """Return counters and histograms as text."""
+        from citronspring.tokens.report import metrics_text
+
         return metrics_text(self.tables, now)
--- a/citronspring/tokens/copies.py
+++ b/citronspring/tokens/copies.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from typing import TYPE_CHECKING, Any
 
 from citronspring.endpoints import Endpoint
@@ -52,6 +53,8 @@
         "key": route.key,
         "shares": [[share.service, share.weight] for share in route.shares],
         "idempotent": route.idempotent,
+        "objective": None if route.objective == math.inf else route.objective,
+        "priority": route.priority,
     }
 
 
@@ -92,9 +95,17 @@
         int(body["key"]),
         tuple(Share(str(name), float(weight)) for name, weight in body["shares"]),
         bool(body["idempotent"]),
+        objective_of(body),
+        int(body.get("priority", 0)),
     )
 
 
+def objective_of(body: dict[str, Any]) -> float:
+    """Return the objective in a route's plain values; infinite if there is none."""
+    objective = body.get("objective")
+    return math.inf if objective is None else float(objective)
+
+
 def decode_target(body: dict[str, Any]) -> Target:
     """Return a target from plain values."""
     ip, port = body["endpoint"]
--- a/citronspring/tokens/entities.py
+++ b/citronspring/tokens/entities.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from citronspring.records import record
@@ -58,6 +59,10 @@
     #: Whether a request may run twice, so that a caller tries again by itself
     #: after a reset.
     idempotent: bool
+    #: Seconds within which a request should be answered; infinite for none.
+    objective: float = math.inf
+    #: How urgent its requests are, 0 most of all.
+    priority: int = 0
 
 
 @record
--- a/citronspring/tokens/forwarding.py
+++ b/citronspring/tokens/forwarding.py
@@ -7,6 +7,7 @@
 
 from citronspring.events import FLOW_RESET
 from citronspring.flags import FIN, RST, SYN
+from citronspring.tokens.admission import note_time_to_answer
 from citronspring.tokens.evidence import (
     certainly_gone,
     certainly_unreachable,
@@ -170,6 +171,9 @@
     touch_flow(tables, flow, now)
     if 0 < (packet.ack - flow.ack) & SEQ_MASK < SEQ_HALF:
         flow.ack = packet.ack
+        if flow.busy:
+            service = tables.service_row(flow.target.target.service)
+            note_time_to_answer(service, now - flow.asked_at, now)
         note_answer(tables, flow.target, flow.asked_at, now)
         end_request(flow)
     if not packet.length:
--- a/citronspring/tokens/messages.py
+++ b/citronspring/tokens/messages.py
@@ -37,6 +37,7 @@
     NO_TARGET = "no-target"
     TARGET_GONE = "target-gone"
     TARGET_UNREACHABLE = "target-unreachable"
+    OVERLOADED = "overloaded"
 
 
 @record
--- a/citronspring/tokens/openings.py
+++ b/citronspring/tokens/openings.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from citronspring.events import OPENING_PLACED, OPENING_REFUSED
+from citronspring.tokens.admission import admits, known_delay
 from citronspring.tokens.evidence import note_silence
 from citronspring.tokens.flows import close_flow, start_flow
 from citronspring.tokens.messages import (
@@ -75,7 +76,11 @@
 ) -> None:
     """Choose a target for an opening and send it there."""
     tried = flow.tried if flow is not None else []
-    target = find_target(tables, packet, route, tried, now)
+    service = choose_service(route, packet.seq)
+    if flow is None and not is_let_in(tables, packet, route, service, now):
+        refuse_overload(tables, packet, route, service, now, actions)
+        return
+    target = find_target(tables, service, tried, now)
     if target is None:
         if not tried:
             refuse_opening(packet, ResetReason.NO_TARGET, actions)
@@ -92,11 +97,23 @@
     actions.append(Forward(packet, target))
 
 
+def is_let_in(
+    tables: Tables, packet: Packet, route: Route, service: str | None, now: float
+) -> bool:
+    """Whether an opening that was not placed here may be.
+
+    A copy of one that another host may have placed is always let in: its target may
+    have answered already, and the caller be about to go on.
+    """
+    if service is None or packet.ack:
+        return True
+    return admits(tables, packet, route, service, now)
+
+
 def find_target(
-    tables: Tables, packet: Packet, route: Route, tried: list[TargetRow], now: float
+    tables: Tables, service: str | None, tried: list[TargetRow], now: float
 ) -> TargetRow | None:
-    """Return the target for an opening, of a service that the route's weights pick."""
-    service = choose_service(route, packet.seq)
+    """Return the target for an opening, None if there is none."""
     if service is None:
         return None
     return choose_target(tables, service, tried, now)
@@ -139,6 +156,30 @@
     actions.append(Log(OPENING_REFUSED.number, fields))
 
 
+def refuse_overload(
+    tables: Tables,
+    packet: Packet,
+    route: Route,
+    service: str | None,
+    now: float,
+    actions: list[Action],
+) -> None:
+    """Refuse an opening whose request would be late, and say what decided that."""
+    actions.append(ResetCaller(packet, ResetReason.OVERLOADED))
+    delay = known_delay(tables, service, now) if service is not None else 0.0
+    fields: dict[str, object] = {
+        "flow": packet.flow,
+        "reason": ResetReason.OVERLOADED.value,
+        "route": route.name,
+        "service": service,
+        "delay": round(delay, 3),
+        "objective": route.objective,
+        "priority": route.priority,
+        "configuration": tables.configuration,
+    }
+    actions.append(Log(OPENING_REFUSED.number, fields))
+
+
 def await_answer(tables: Tables, packet: Packet, flow: FlowRow, now: float) -> None:
     """Have an opening looked at again once its answer is overdue."""
     flow.opening = packet
--- a/citronspring/tokens/report.py
+++ b/citronspring/tokens/report.py
@@ -5,6 +5,8 @@
 import math
 from typing import TYPE_CHECKING
 
+from citronspring.tokens.admission import known_delay
+
 if TYPE_CHECKING:
     from citronspring.tokens.tables import Tables
 
@@ -40,6 +42,10 @@
             }
             for target_id, row in sorted(tables.targets.items())
         },
+        "services": {
+            name: {"delay": seconds(known_delay(tables, name, now))}
+            for name in sorted(tables.services)
+        },
         "counters": dict(sorted(tables.counters.items())),
     }
 
@@ -62,6 +68,10 @@
     for name, value in gauges.items():
         lines.append(f"# TYPE {PREFIX}_{name} gauge")
         lines.append(f"{PREFIX}_{name} {value:g}")
+    lines.append(f"# TYPE {PREFIX}_service_delay_seconds gauge")
+    for service in sorted(tables.services):
+        delay = known_delay(tables, service, now)
+        lines.append(f'{PREFIX}_service_delay_seconds{{service="{service}"}} {delay:g}')
     lines.append(f"# TYPE {PREFIX}_events_total counter")
     for kind, count in sorted(tables.counters.items()):
         lines.append(f'{PREFIX}_events_total{{kind="{kind}"}} {count}')
--- a/citronspring/tokens/revisions.py
+++ b/citronspring/tokens/revisions.py
@@ -123,6 +123,8 @@
     tables.last_configuration = configuration
     tables.idle_timeout = configuration.idle_timeout
     tables.routes = {route.key: route for route in configuration.routes}
+    priorities = (route.priority for route in configuration.routes)
+    tables.least_priority = max(priorities, default=0)
     tables.route_services = {
         route.key: tables.route_services.get(route.key, set())
         | {share.service for share in route.shares}
--- a/tests/test_emulator/test_loads.py
+++ b/tests/test_emulator/test_loads.py
@@ -4,7 +4,14 @@
 
 import pytest
 
-from citronspring.emulator.loads import burst, crash_in_burst, cut_in_burst
+from citronspring.emulator.loads import (
+    BURST_AT,
+    BURST_SECONDS,
+    burst,
+    crash_in_burst,
+    cut_in_burst,
+    slow_in_burst,
+)
 from citronspring.emulator.run import play
 from citronspring.emulator.world import Sizes
 
@@ -59,3 +66,59 @@
 def play_wide(load):
     """Play a load on wide links, some seeds."""
     return [play(seed, WIDE_LINKS, calm=True, load=load) for seed in BURST_SEEDS]
+
+
+#: Few targets that turn requests away when they are full, and an objective of 0.2 s.
+FEW_TARGETS = Sizes(
+    desk_per_zone=2,
+    callers_per_second=50.0,
+    seconds=16.0,
+    objective=0.2,
+    targets_shed=True,
+)
+
+
+def in_time_while_pressed(load):
+    """Return the requests that were in time during bursts, of some seeds."""
+    first, last = int(BURST_AT), int(BURST_AT + BURST_SECONDS)
+    outcomes = [play(seed, FEW_TARGETS, calm=True, load=load) for seed in BURST_SEEDS]
+    assert all(outcome.broken == [] for outcome in outcomes)
+    return sum(
+        in_time for outcome in outcomes for _, in_time in outcome.seconds[first:last]
+    )
+
+
+def let_all_in(monkeypatch):
+    """Take admission away."""
+    monkeypatch.setattr("citronspring.tokens.openings.admits", lambda *arguments: True)
+
+
+def test_refusals_keep_requests_in_time_when_callers_outrun_the_targets(monkeypatch):
+    """Six times the callers: more work than the targets can do.
+
+    Queues are full, each request waits through one, and those turned away at its end
+    come again. With a share of the openings refused at once, the others are in time.
+    """
+    load = burst(6.0)
+    admitted = in_time_while_pressed(load)
+    let_all_in(monkeypatch)
+    assert admitted >= 1.2 * in_time_while_pressed(load)
+
+
+def test_nobody_is_refused_while_targets_have_room(monkeypatch):
+    """Twice the callers are no overload, nor a few more on two thirds of the targets.
+
+    Slow answers of the other third must not cost callers whom these would serve.
+    """
+    loads = (burst(2.0), slow_in_burst(1.2))
+    admitted = [in_time_while_pressed(load) for load in loads]
+    let_all_in(monkeypatch)
+    for load, in_time in zip(loads, admitted, strict=True):
+        assert in_time >= 0.97 * in_time_while_pressed(load)
+
+
+def test_refusals_end_with_the_load():
+    """A second after the burst everybody is let in again, and in time."""
+    outcome = play(1, FEW_TARGETS, calm=True, load=burst(6.0))
+    for started, in_time in outcome.seconds[int(BURST_AT + BURST_SECONDS) + 1 : 16]:
+        assert in_time >= 0.97 * started
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -102,6 +102,17 @@
     assert route.idempotent
 
 
+def test_decodes_what_a_route_asks_of_answers():
+    route = {**ROUTE, "target_latency_ms": 120, "priority": 1}
+    entry = only_entry(page(item("op/config", {**CONFIGURATION, "routes": [route]})))
+    assert (entry.routes[0].objective, entry.routes[0].priority) == (0.12, 1)
+
+
+def test_route_that_asks_for_no_latency_has_no_objective():
+    entry = only_entry(page(item("op/config", CONFIGURATION)))
+    assert entry.routes[0].objective == float("inf")
+
+
 def test_decodes_a_route_over_several_services():
     backends = [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}]
     route = {**ROUTE, "backends": backends, "route_type": "upload"}
--- /dev/null
+++ b/tests/test_tokens/test_admission.py
@@ -0,0 +1,145 @@
+"""Who is let in while requests take long."""
+
+from __future__ import annotations
+
+import math
+
+import pytest
+
+from citronspring.flags import SYN
+from citronspring.tokens.admission import note_time_to_answer, refused_share
+from citronspring.tokens.copies import decode_route, plain_route
+from citronspring.tokens.entities import Packet, Route, Share
+from citronspring.tokens.messages import Forward, ResetCaller, ResetReason
+from citronspring.tokens.tables import ServiceRow
+from tests.test_tokens.driver import (
+    ORDERS,
+    STREAMS,
+    Driver,
+    make_configuration,
+    make_target,
+    reason_of,
+)
+
+OBJECTIVE = 0.15
+
+
+def make_route(key, *, priority, objective=OBJECTIVE, idempotent=True):
+    shares = (Share("previews", 1.0),)
+    return Route(f"route-{key}", key, shares, idempotent, objective, priority)
+
+
+def loaded_driver(delay, *, objective=OBJECTIVE):
+    """Return a host whose targets take so long for each request."""
+    previews = make_route(STREAMS, priority=2, objective=objective)
+    orders = make_route(ORDERS, priority=1, objective=objective, idempotent=False)
+    configuration = make_configuration(1, (previews, orders))
+    driver = Driver(make_target(1), make_target(2), configuration=configuration)
+    caller = driver.caller(1)
+    caller.connect()
+    for _ in range(30):
+        caller.ask()
+        driver.now += delay
+        caller.take_response()
+    return driver
+
+
+def refused(driver, route=STREAMS, count=200):
+    """Return how many of some openings are refused."""
+    actions = [driver.caller(port, route).open() for port in range(100, 100 + count)]
+    return sum(isinstance(action, ResetCaller) for action in actions)
+
+
+def test_nobody_is_refused_while_answers_come_in_time():
+    assert refused(loaded_driver(0.04)) == 0
+
+
+def test_all_are_refused_when_their_requests_would_be_late():
+    """Every request waits through full queues and is late.
+
+    A caller that is refused at once can try elsewhere, or tell its user; let in, it
+    would be late, and make those before it late.
+    """
+    driver = loaded_driver(0.14)
+    assert refused(driver) == 200
+    action = driver.caller(500).open()
+    assert reason_of(action) is ResetReason.OVERLOADED
+    fields = driver.logs[-1].fields
+    assert fields["reason"] == "overloaded"
+    assert fields["delay"] == pytest.approx(0.14, rel=0.1)
+    assert fields["objective"] == OBJECTIVE
+
+
+def test_refusals_rise_with_the_delay():
+    share = [refused(loaded_driver(delay)) for delay in (0.055, 0.067, 0.078)]
+    assert 0 < share[0] < share[1] < share[2] < 200
+
+
+def test_what_is_urgent_is_let_in_first():
+    driver = loaded_driver(0.085)
+    assert refused(driver, STREAMS) == 200
+    assert refused(driver, ORDERS) == 0
+
+
+def test_route_without_an_objective_is_never_refused():
+    assert refused(loaded_driver(2.0, objective=math.inf)) == 0
+
+
+def test_after_a_silence_flows_are_let_in_to_find_out():
+    """All openings were refused, and no flow is left to tell that the load has gone."""
+    driver = loaded_driver(0.14)
+    assert refused(driver) == 200
+    driver.now += 0.6
+    assert refused(driver) == 0
+
+
+def test_copy_of_an_opening_is_never_refused():
+    """Another host has placed the opening, and left the routers' rotation since.
+
+    The target may have answered, and its answer be on the way. A refusal would end an
+    attempt that is about to be served.
+    """
+    driver = loaded_driver(0.14)
+    copy = Packet(b"flow", STREAMS, SYN, 0, 77, 1, 0)
+    assert isinstance(driver.receive(copy), Forward)
+
+
+def test_open_flow_goes_on_under_any_load():
+    driver = loaded_driver(0.14)
+    caller = driver.caller(1)
+    caller.token = 1
+    assert isinstance(caller.ask(), Forward)
+
+
+def test_single_long_requests_move_the_median_little():
+    """A third of the targets is ten times slower; the others have room."""
+    service = ServiceRow()
+    for number in range(300):
+        note_time_to_answer(service, 0.3 if number % 3 == 0 else 0.03, 1.0)
+    assert service.median_delay < 0.06
+
+
+def test_median_of_instant_answers_rises_again():
+    service = ServiceRow()
+    note_time_to_answer(service, 0.0, 1.0)
+    for _ in range(100):
+        note_time_to_answer(service, 0.1, 1.0)
+    assert service.median_delay > 0.09
+
+
+def test_share_of_a_route_stays_between_none_and_all():
+    route = make_route(STREAMS, priority=2)
+    assert refused_share(0.0, route, 2) == 0.0
+    assert refused_share(9.0, route, 2) == 1.0
+
+
+def test_objective_and_priority_are_handed_on():
+    for objective in (OBJECTIVE, math.inf):
+        route = make_route(STREAMS, priority=1, objective=objective)
+        assert decode_route(plain_route(route)) == route
+
+
+def test_copy_of_an_older_release_refuses_nobody():
+    plain = plain_route(make_route(STREAMS, priority=1))
+    del plain["objective"], plain["priority"]
+    assert decode_route(plain).objective == math.inf
