--- a/citronspring/tokens/admission.py
+++ b/citronspring/tokens/admission.py
@@ -23,6 +23,11 @@
 #: small host sees of a busy service in a tenth of a second.
 MEDIAN_STEP = 0.075
 
+#: Answers, with no longer silence between, before which a median is not known. A host
+#: of a large fleet sees a request or two of a service a second, and one slow upload
+#: would have the next callers refused while targets are idle.
+FEW_ANSWERS = 10
+
 #: Least median in seconds: one of 0, as of an answer that came in the same instant,
 #: would stay 0 for ever.
 LEAST_MEDIAN = 0.001
@@ -56,11 +61,13 @@
     """
     if now - service.answered_at > MEDIAN_LASTS:
         service.median_delay = max(seconds, LEAST_MEDIAN)
+        service.answers = 0
     elif seconds > service.median_delay:
         service.median_delay *= 1.0 + MEDIAN_STEP
     else:
         lower = service.median_delay * (1.0 - MEDIAN_STEP)
         service.median_delay = max(lower, LEAST_MEDIAN)
+    service.answers += 1
     service.answered_at = now
 
 
@@ -77,7 +84,9 @@
 def known_delay(tables: Tables, service: str, now: float) -> float:
     """Return the median time to answer of a service, 0 if it is not known now."""
     row = tables.services.get(service)
-    if row is None or now - row.answered_at > MEDIAN_LASTS:
+    if row is None or row.answers < FEW_ANSWERS:
+        return 0.0
+    if now - row.answered_at > MEDIAN_LASTS:
         return 0.0
     return row.median_delay
 
--- a/citronspring/tokens/entities.py
+++ b/citronspring/tokens/entities.py
@@ -124,7 +124,8 @@
     token: int
     #: Number of the first byte of payload, 32 bits.
     seq: int
-    #: Next byte that the caller expects, 32 bits.
+    #: Next byte that the caller expects, 32 bits; on an opening, how many times the
+    #: caller has sent it before.
     ack: int
     #: Bytes of payload.
     length: int
--- a/citronspring/tokens/tables.py
+++ b/citronspring/tokens/tables.py
@@ -80,6 +80,8 @@
 
     #: Median seconds from a request to its answer, of the newest requests.
     median_delay: float = 0.0
+    #: Answers since there was none for a while.
+    answers: int = 0
     answered_at: float = -math.inf
 
 
--- a/tests/test_tokens/test_admission.py
+++ b/tests/test_tokens/test_admission.py
@@ -111,6 +111,28 @@
     assert isinstance(caller.ask(), Forward)
 
 
+def test_few_long_requests_refuse_nobody():
+    """A host of a large fleet sees an upload or two of a service a second.
+
+    One over a slow link takes half of the objective. Taken for the median, it would
+    have the next callers refused while every target is idle.
+    """
+    objective = 1.345
+    driver = Driver(
+        make_target(1),
+        configuration=make_configuration(
+            1, (make_route(STREAMS, priority=2, objective=objective),)
+        ),
+    )
+    caller = driver.caller(1)
+    caller.connect()
+    for _ in range(3):
+        caller.ask()
+        driver.now += 0.9
+        caller.take_response()
+        assert refused(driver, count=20) == 0
+
+
 def test_single_long_requests_move_the_median_little():
     """A third of the targets is ten times slower; the others have room."""
     service = ServiceRow()
