--- a/citronspring/platform/records.py
+++ b/citronspring/platform/records.py
@@ -177,9 +177,7 @@
 def start_of(body: dict[str, Any]) -> int | None:
     """Return which start of a target an entry is of, None if it does not say."""
     started = body.get(START_FIELD)
-    if isinstance(started, int) and not isinstance(started, bool):
-        return started
-    return None
+    return started if has_type(started, (int,)) else None
 
 
 def warmup_of(milliseconds: float) -> float:
--- a/citronspring/tokens/openings.py
+++ b/citronspring/tokens/openings.py
@@ -149,10 +149,15 @@
     actions.append(Log(OPENING_PLACED.number, fields))
 
 
-def refuse_opening(packet: Packet, reason: ResetReason, actions: list[Action]) -> None:
-    """Reset an opening that nothing was sent for; it has not run."""
+def refuse_opening(
+    packet: Packet, reason: ResetReason, actions: list[Action], **inputs: object
+) -> None:
+    """Reset an opening that nothing was sent for; it has not run.
+
+    What decided it beside the reason goes into the log.
+    """
     actions.append(ResetCaller(packet, reason))
-    fields: dict[str, object] = {"flow": packet.flow, "reason": reason.value}
+    fields = {"flow": packet.flow, "reason": reason.value, **inputs}
     actions.append(Log(OPENING_REFUSED.number, fields))
 
 
@@ -165,19 +170,18 @@
     actions: list[Action],
 ) -> None:
     """Refuse an opening whose request would be late, and say what decided that."""
-    actions.append(ResetCaller(packet, ResetReason.OVERLOADED))
     delay = known_delay(tables, service, now) if service is not None else 0.0
-    fields: dict[str, object] = {
-        "flow": packet.flow,
-        "reason": ResetReason.OVERLOADED.value,
-        "route": route.name,
-        "service": service,
-        "delay": round(delay, 3),
-        "objective": route.objective,
-        "priority": route.priority,
-        "configuration": tables.configuration,
-    }
-    actions.append(Log(OPENING_REFUSED.number, fields))
+    refuse_opening(
+        packet,
+        ResetReason.OVERLOADED,
+        actions,
+        route=route.name,
+        service=service,
+        delay=round(delay, 3),
+        objective=route.objective,
+        priority=route.priority,
+        configuration=tables.configuration,
+    )
 
 
 def await_answer(tables: Tables, packet: Packet, flow: FlowRow, now: float) -> None:
--- a/citronspring/tokens/revisions.py
+++ b/citronspring/tokens/revisions.py
@@ -233,11 +233,8 @@
     flows = [key for key, flow in tables.flows.items() if flow.target is row]
     for key in flows:
         close_flow(tables, key, tables.flows[key])
-    rows = tables.by_service.get(row.target.service, [])
-    if row in rows:
-        rows.remove(row)
-    if tables.by_token.get(row.token) is row:
-        del tables.by_token[row.token]
+    unlist_service(tables, row)
+    release_token(tables, row)
     fields: dict[str, object] = {
         "target": target.target_id,
         "started": target.started,
@@ -292,6 +289,19 @@
         rows.append(row)
 
 
+def unlist_service(tables: Tables, row: TargetRow) -> None:
+    """Give a target no new flows."""
+    rows = tables.by_service.get(row.target.service, [])
+    if row in rows:
+        rows.remove(row)
+
+
+def release_token(tables: Tables, row: TargetRow) -> None:
+    """Have a target's token name it no longer, if it did."""
+    if tables.by_token.get(row.token) is row:
+        del tables.by_token[row.token]
+
+
 def log_target(row: TargetRow, actions: list[Action]) -> None:
     """Log what is now believed of a target."""
     target = row.target
@@ -318,9 +328,7 @@
     if removed.revision < row.target.revision:
         return False
     row.gone_at = now
-    rows = tables.by_service.get(row.target.service, [])
-    if row in rows:
-        rows.remove(row)
+    unlist_service(tables, row)
     fields: dict[str, object] = {
         "target": removed.target_id,
         "revision": removed.revision,
@@ -376,5 +384,4 @@
     for target_id, row in list(tables.targets.items()):
         if now - row.gone_at >= GONE_RETENTION:
             del tables.targets[target_id]
-            if tables.by_token.get(row.token) is row:
-                del tables.by_token[row.token]
+            release_token(tables, row)
