Log calls that bring nothing, refused followers and answers that are cut

The logs of the incident could not tell how much of an answer had come when a call was given up, that it happened again, how large a difference a reader refused to hand on, or why a connection was closed. Three events, 629, 640 and 641; no decision changes.

--- a/citronspring/daemons/followers.py
+++ b/citronspring/daemons/followers.py
@@ -7,6 +7,8 @@
 
 from citronspring.daemons.http_server import HttpServer
 from citronspring.daemons.store_calls import COPY_PATH, MILLISECONDS, NEWS_PATH
+from citronspring.events import NEWS_REFUSED
+from citronspring.tokens.copies import OK
 from citronspring.tokens.news import Poll
 
 if TYPE_CHECKING:
@@ -37,6 +39,8 @@
         Where other hosts ask.
     clock : callable
         Returns the time in seconds.
+    write : callable
+        Logs an event; takes its number and fields.
     """
 
     def __init__(
@@ -45,11 +49,13 @@
         selector: BaseSelector,
         endpoint: Endpoint,
         clock: Callable[[], float],
+        write: Callable[[int, dict[str, object]], None],
     ) -> None:
         self.core = core
         self.clock = clock
+        self.write = write
         self.polls: dict[ServerConnection, Poll] = {}
-        self.server = HttpServer(selector, endpoint, self.answer, MOST_FOLLOWERS)
+        self.server = HttpServer(selector, endpoint, self.answer, MOST_FOLLOWERS, write)
 
     def answer(self, path: str, connection: ServerConnection) -> tuple[int, str] | None:
         """Answer a request, or keep it until there is something to say."""
@@ -61,11 +67,23 @@
             return 404, f"ask for {COPY_PATH} or {NEWS_PATH}\n"
         after, wait = asked.groups()
         poll = Poll(int(after), now, now + int(wait) / MILLISECONDS)
-        answer = self.core.answer_poll(poll, now)
+        answer = self.answer_poll(poll, now)
         if answer is None:
             self.polls[connection] = poll
         return answer
 
+    def answer_poll(self, poll: Poll, now: float) -> tuple[int, str] | None:
+        """Return the answer to a follower, None while there is nothing to say."""
+        answer = self.core.answer_poll(poll, now)
+        if answer is not None and answer[0] != OK:
+            fields: dict[str, object] = {
+                "status": answer[0],
+                "reason": answer[1].strip(),
+                "after": poll.after_revision,
+            }
+            self.write(NEWS_REFUSED.number, fields)
+        return answer
+
     def run(self, now: float) -> None:
         """Answer those that have waited for what is known now."""
         if not self.polls:
@@ -74,7 +92,7 @@
             if connection.closed:
                 del self.polls[connection]
                 continue
-            answer = self.core.answer_poll(poll, now)
+            answer = self.answer_poll(poll, now)
             if answer is not None:
                 del self.polls[connection]
                 connection.reply(*answer)
--- a/citronspring/daemons/http_client.py
+++ b/citronspring/daemons/http_client.py
@@ -51,6 +51,8 @@
         self.connect_deadline = 0.0
         self.parser: HttpResponseParser | None = None
         self.body = bytearray()
+        #: Bytes of the last answer that have come, heads included.
+        self.received = 0
 
     @property
     def busy(self) -> bool:
@@ -69,6 +71,7 @@
         self.done = done
         self.deadline = deadline
         self.body.clear()
+        self.received = 0
         self.parser = HttpResponseParser(self)
         if self.sock is None:
             self.connect_deadline = now + CONNECT_TIMEOUT
@@ -153,6 +156,7 @@
         if not data or not self.busy or self.parser is None:
             self.fail(b"the connection was closed")
             return
+        self.received += len(data)
         try:
             self.parser.feed_data(data)
         except HttpParserError as error:
--- a/citronspring/daemons/http_server.py
+++ b/citronspring/daemons/http_server.py
@@ -8,6 +8,8 @@
 
 from httptools import HttpParserError, HttpRequestParser
 
+from citronspring.events import ANSWER_CUT
+
 if TYPE_CHECKING:
     from collections.abc import Callable
     from selectors import BaseSelector
@@ -42,6 +44,8 @@
         reply later.
     most_connections : int
         Connections kept at once.
+    write : callable, optional
+        Logs an event; takes its number and fields.
     """
 
     def __init__(
@@ -50,9 +54,11 @@
         endpoint: Endpoint,
         answer: Callable[[str, ServerConnection], tuple[int, str] | None],
         most_connections: int = MOST_CONNECTIONS,
+        write: Callable[[int, dict[str, object]], None] | None = None,
     ) -> None:
         self.selector = selector
         self.answer = answer
+        self.write = write
         self.most_connections = most_connections
         self.connections: dict[ServerConnection, None] = {}
         self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -74,6 +80,17 @@
         connection = ServerConnection(self, sock)
         self.connections[connection] = None
 
+    def note_cut(self, connection: ServerConnection, sent: int, size: int) -> None:
+        """Log that an answer did not go out whole."""
+        if self.write is None:
+            return
+        fields: dict[str, object] = {
+            "path": connection.path,
+            "sent": sent,
+            "size": size,
+        }
+        self.write(ANSWER_CUT.number, fields)
+
 
 class ServerConnection:
     """One connection of `HttpServer`."""
@@ -128,7 +145,9 @@
         try:
             # A reader that takes less than a whole answer gets the rest never; the
             # connection is closed, so that nothing waits here for it.
-            if self.sock.send(head.encode() + body) < len(head) + len(body):
+            sent = self.sock.send(head.encode() + body)
+            if sent < len(head) + len(body):
+                self.server.note_cut(self, sent, len(head) + len(body))
                 self.close()
                 return
         except OSError:
--- a/citronspring/daemons/store_calls.py
+++ b/citronspring/daemons/store_calls.py
@@ -5,10 +5,18 @@
 from typing import TYPE_CHECKING
 
 from citronspring.daemons.http_client import HttpClient
+from citronspring.events import CALL_FAILED
 from citronspring.http_request import HttpRequest
 from citronspring.tokens.copies import decode_copy
 from citronspring.tokens.election import CALL_TIMEOUT, claim_delay
-from citronspring.tokens.messages import FollowReader, ReadPeer, Unanswered
+from citronspring.tokens.messages import (
+    FollowReader,
+    HistoryLost,
+    Log,
+    ReadPeer,
+    Refused,
+    Unanswered,
+)
 from citronspring.tokens.news import decode_news
 
 if TYPE_CHECKING:
@@ -111,7 +119,9 @@
             return
 
         def done(status: int, body: bytes) -> None:
-            self.take_answer(call, self.decode(call, status, body), now)
+            answer = self.decode(call, status, body)
+            self.note_failure(call, answer, now)
+            self.take_answer(call, answer, now)
 
         deadline = self.core.answer_deadline(call, now)
         match call:
@@ -126,6 +136,31 @@
                 request = self.translation.encode_call(call)
                 self.store.send(request, deadline, now, done)
 
+    def note_failure(
+        self, call: StoreCall, answer: StoreAnswer, sent_at: float
+    ) -> None:
+        """Log a call that brought nothing, with what had come of its answer."""
+        match answer:
+            case Unanswered():
+                cause = answer.cause
+            case Refused():
+                cause = f"status {answer.status}"
+            case HistoryLost():
+                cause = "too far behind"
+            case _:
+                return
+        asked_host = isinstance(call, (FollowReader, ReadPeer))
+        client = self.peer if asked_host else self.store
+        now = self.clock()
+        fields: dict[str, object] = {
+            "call": type(call).__name__,
+            "to": str(client.endpoint),
+            "cause": cause,
+            "took": round(now - sent_at, 3),
+            "received": client.received,
+        }
+        self.perform([Log(CALL_FAILED.number, fields)], now)
+
     def ask_host(self, endpoint: Endpoint) -> None:
         """Turn to another host.
 
--- a/citronspring/daemons/token_host.py
+++ b/citronspring/daemons/token_host.py
@@ -111,7 +111,7 @@
         )
         self.server = HttpServer(self.selector, settings.readiness, self.answer)
         self.followers = Followers(
-            self.core, self.selector, settings.copies, boot_clock
+            self.core, self.selector, settings.copies, boot_clock, self.write
         )
         self.stopping = False
         self.settings_version = translation.settings_version()
--- a/citronspring/events.py
+++ b/citronspring/events.py
@@ -255,6 +255,13 @@
     Level.INFO,
     "The lease has ended or was given up; another host may read for the zone.",
 )
+CALL_FAILED = Event(
+    629,
+    "call-failed",
+    Level.INFO,
+    "A call to the store or another host brought nothing that can be used.",
+    "If `received` is large: the link is slow for what it has to carry.",
+)
 SETTINGS_READ = Event(630, "settings-read", Level.INFO, "The settings were read again.")
 SETTINGS_BAD = Event(
     631,
@@ -263,6 +270,19 @@
     "The settings cannot be read; those in force stay in force.",
     "Mend what the reason names.",
 )
+NEWS_REFUSED = Event(
+    640,
+    "news-refused",
+    Level.INFO,
+    "A follower was sent to the store for what has changed.",
+)
+ANSWER_CUT = Event(
+    641,
+    "answer-cut",
+    Level.INFO,
+    "A connection was closed before the whole answer had gone out.",
+    "If it is often the same host that asked: look at the way to it.",
+)
 LINES_LEFT_OUT = Event(
     690,
     "lines-left-out",
--- a/citronspring/tokens/news.py
+++ b/citronspring/tokens/news.py
@@ -109,7 +109,10 @@
     }
     text = json.dumps(body)
     if not take_allowance(tables.news, len(text) + HEAD_BYTES, now):
-        return TOO_FAR_BEHIND, "more than the link has room for\n"
+        return (
+            TOO_FAR_BEHIND,
+            f"{len(text)} bytes are more than the link has room for\n",
+        )
     return OK, text
 
 
