List in place of a watch that would bring more than the link has time for

Cause: a watch brings every version since the host's revision in full. Twenty versions of 700 KB, 0.1 s apart, are 13 MB for one answer; as it is waited for while it comes in, the host heard of nothing else for 21 s (before, it was begun anew for ever). The head of an answer tells its size: beyond what the link carries in a quarter of the change bound it is not taken, and a list is read, which holds the newest version only.

On wide links an answer of over 8 MB used to fail and be asked for again: the same cause.

--- a/citronspring/daemons/http_client.py
+++ b/citronspring/daemons/http_client.py
@@ -32,6 +32,9 @@
 #: neighbours stays below.
 LARGEST_ANSWER = 8_000_000
 
+#: Cause of the failure of a call whose answer is larger than was asked for.
+TOO_LARGE = b"the answer is too large"
+
 
 class HttpClient:
     """A kept connection to one server.
@@ -56,6 +59,9 @@
         self.connect_deadline = 0.0
         self.parser: HttpResponseParser | None = None
         self.body = bytearray()
+        #: Largest body that is taken, and the one that the answer's head announces.
+        self.largest: float = LARGEST_ANSWER
+        self.announced = 0
         #: Bytes of the last answer that have come, heads included, and how many of
         #: them had when the deadline was last looked at.
         self.received = 0
@@ -72,11 +78,17 @@
         deadline: float,
         now: float,
         done: Callable[[int, bytes], None],
+        largest: float = LARGEST_ANSWER,
     ) -> None:
-        """Send a request; ``done`` is called once, also when nothing comes back."""
+        """Send a request; ``done`` is called once, also when nothing comes back.
+
+        An answer with a body of more than ``largest`` bytes is not taken.
+        """
         self.outgoing = self.encode(request)
         self.done = done
         self.deadline = deadline
+        self.largest = min(largest, LARGEST_ANSWER)
+        self.announced = 0
         self.body.clear()
         self.received = self.seen = 0
         self.parser = HttpResponseParser(self)
@@ -173,12 +185,18 @@
             self.parser.feed_data(data)
         except HttpParserError as error:
             self.fail(str(error).encode())
+            return
+        if self.busy and max(len(self.body), self.announced) > self.largest:
+            self.fail(TOO_LARGE)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take the size that a body will have; called by the parser."""
+        if name.lower() == b"content-length" and value.isdigit():
+            self.announced = int(value)
 
     def on_body(self, data: bytes) -> None:
         """Collect a piece of the body; called by the parser."""
         self.body += data
-        if len(self.body) > LARGEST_ANSWER:
-            raise HttpParserError("the answer is too large")
 
     def on_message_complete(self) -> None:
         """Hand the answer over; called by the parser."""
--- a/citronspring/daemons/store_calls.py
+++ b/citronspring/daemons/store_calls.py
@@ -4,12 +4,13 @@
 
 from typing import TYPE_CHECKING
 
-from citronspring.daemons.http_client import HttpClient
+from citronspring.daemons.http_client import TOO_LARGE, HttpClient
 from citronspring.events import CALL_FAILED
 from citronspring.http_request import HttpRequest
 from citronspring.tokens.copies import decode_copy
 from citronspring.tokens.election import CALL_TIMEOUT, claim_delay
 from citronspring.tokens.messages import (
+    AnswerTooLarge,
     FollowReader,
     HistoryLost,
     Log,
@@ -134,7 +135,8 @@
                 self.peer.send(news_request(call), deadline, now, done)
             case _:
                 request = self.translation.encode_call(call)
-                self.store.send(request, deadline, now, done)
+                largest = self.core.largest_answer(call)
+                self.store.send(request, deadline, now, done, largest)
 
     def note_failure(
         self, call: StoreCall, answer: StoreAnswer, sent_at: float
@@ -145,6 +147,8 @@
                 cause = answer.cause
             case Refused():
                 cause = f"status {answer.status}"
+            case AnswerTooLarge():
+                cause = TOO_LARGE.decode()
             case HistoryLost():
                 cause = "too far behind"
             case _:
@@ -175,7 +179,7 @@
     def decode(self, call: StoreCall, status: int, body: bytes) -> StoreAnswer:
         """Translate what came back of a call."""
         if status == 0:
-            return unanswered(body)
+            return AnswerTooLarge() if body == TOO_LARGE else unanswered(body)
         match call:
             case ReadPeer():
                 return decode_copy(status, body)
--- a/citronspring/daemons/token_host.py
+++ b/citronspring/daemons/token_host.py
@@ -72,7 +72,9 @@
 
 def times_of(settings: HostSettings) -> ReaderTimes:
     """Return the time limits that settings ask for."""
-    return ReaderTimes.from_bounds(settings.change_bound, settings.settling_time)
+    return ReaderTimes.from_bounds(
+        settings.change_bound, settings.settling_time, settings.link_rate
+    )
 
 
 class TokenHost:
--- a/citronspring/emulator/hosts.py
+++ b/citronspring/emulator/hosts.py
@@ -18,6 +18,7 @@
 from citronspring.tokens.election import CALL_TIMEOUT, claim_delay
 from citronspring.tokens.entities import Packet
 from citronspring.tokens.messages import (
+    AnswerTooLarge,
     FollowReader,
     Forward,
     Log,
@@ -217,15 +218,22 @@
             case FollowReader():
                 self.follow(self.fleet[call.endpoint.ip], call, pending)
             case _:
+                largest = self.core.largest_answer(call)
                 self.store.call(
-                    self.host_id, call, lambda found: self.download(found, pending)
+                    self.host_id,
+                    call,
+                    lambda found: self.download(found, largest, pending),
                 )
         deadline = self.core.answer_deadline(call, now)
         self.clock.at(deadline, pending.expire)
 
-    def download(self, found: StoreAnswer, pending: Pending) -> None:
-        """Have an answer of the store come in by the host's link."""
-        seconds = bytes_of(found) / self.download_rate
+    def download(self, found: StoreAnswer, largest: float, pending: Pending) -> None:
+        """Have an answer of the store come in by the host's link, or refuse it."""
+        size = bytes_of(found)
+        if size > largest:
+            pending.answer(AnswerTooLarge())
+            return
+        seconds = size / self.download_rate
         pending.coming_in = True
         if seconds:
             self.clock.after(seconds, lambda: pending.answer(found))
--- a/citronspring/emulator/world.py
+++ b/citronspring/emulator/world.py
@@ -119,7 +119,9 @@
 
     def add_host(self, host_id: str, zone: str) -> None:
         """Start a host."""
-        times = ReaderTimes.from_bounds(self.sizes.change_bound, self.sizes.settling)
+        times = ReaderTimes.from_bounds(
+            self.sizes.change_bound, self.sizes.settling, self.sizes.download_rate
+        )
         host = EmulatedHost(
             self.clock,
             self.network,
--- a/citronspring/tokens/balancer.py
+++ b/citronspring/tokens/balancer.py
@@ -21,6 +21,7 @@
     ReaderTimes,
     answer_deadline,
     is_current,
+    largest_answer,
     next_call,
     take_answer,
 )
@@ -138,6 +139,10 @@
         """Return the time at which a call that goes out now is given up."""
         return answer_deadline(self.tables, call, now)
 
+    def largest_answer(self, call: StoreCall) -> float:
+        """Return the bytes beyond which an answer to a call is not taken."""
+        return largest_answer(self.times, call)
+
     def take_answer(
         self, call: StoreCall, answer: StoreAnswer, sent_at: float, now: float
     ) -> list[Action]:
--- a/citronspring/tokens/following.py
+++ b/citronspring/tokens/following.py
@@ -11,6 +11,7 @@
 
 from citronspring.events import FOLLOWING, READER_LOST
 from citronspring.tokens.messages import (
+    AnswerTooLarge,
     ConfigurationChange,
     FollowReader,
     HistoryLost,
@@ -94,12 +95,14 @@
 
 def take_failure(
     tables: Tables,
-    answer: HistoryLost | Refused | Unanswered,
+    answer: AnswerTooLarge | HistoryLost | Refused | Unanswered,
     now: float,
     actions: list[Action],
 ) -> None:
     """Take that the reader is of no use now."""
     match answer:
+        case AnswerTooLarge():
+            cause = "its answer is too large"
         case HistoryLost():
             cause = "too far behind it"
         case Refused():
--- a/citronspring/tokens/messages.py
+++ b/citronspring/tokens/messages.py
@@ -170,6 +170,11 @@
     """The store no longer knows what changed: list again."""
 
 
+@record
+class AnswerTooLarge:
+    """The answer is larger than the call allows; none of it was taken."""
+
+
 @record(eq=True)
 class Refused:
     """The store took the call and did nothing."""
@@ -224,7 +229,14 @@
 
 
 StoreAnswer = (
-    PeerCopy | Page | Changes | ReaderNews | HistoryLost | Refused | Unanswered
+    PeerCopy
+    | Page
+    | Changes
+    | ReaderNews
+    | HistoryLost
+    | AnswerTooLarge
+    | Refused
+    | Unanswered
 )
 
 
--- a/citronspring/tokens/reader.py
+++ b/citronspring/tokens/reader.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from citronspring.events import (
@@ -19,6 +20,7 @@
     take_news,
 )
 from citronspring.tokens.messages import (
+    AnswerTooLarge,
     Changes,
     FollowReader,
     HistoryLost,
@@ -87,6 +89,11 @@
 #: times the way within a zone, and longer than a process waits for its processor.
 FOLLOW_SLACK = 0.3
 
+#: Share of the configuration bound for which one answer of a watch may fill the
+#: host's link. A watch brings each version in full, a list the newest alone: of
+#: twenty versions of 700 KB, a watch kept a link of 5 Mbit/s busy for 21 s.
+WATCH_LINK_SHARE = 0.25
+
 #: Share of the bound within which what the host knows must have been confirmed for
 #: it to call a route missing.
 CURRENT_SHARE = 0.8
@@ -94,7 +101,7 @@
 
 @record
 class ReaderTimes:
-    """Time limits of calls, derived from what hosts must keep."""
+    """Limits of calls, derived from what hosts must keep."""
 
     #: Seconds a watch waits.
     wait: float
@@ -106,9 +113,13 @@
     follow_wait: float
     #: Oldest knowledge of a reader, in seconds, that is followed.
     follow_age: float
+    #: Bytes of a watch's answer beyond which everything is listed instead.
+    largest_watch: float
 
     @classmethod
-    def from_bounds(cls, change: float, settling: float) -> ReaderTimes:
+    def from_bounds(
+        cls, change: float, settling: float, link_rate: float = math.inf
+    ) -> ReaderTimes:
         """Derive the limits.
 
         Parameters
@@ -117,6 +128,8 @@
             Seconds within which a change of configuration must be in force.
         settling : float
             Seconds after a trouble from which that holds again.
+        link_rate : float
+            Bytes a second that the host's link carries.
         """
         wait = max(min(WATCH_SHARE * change, settling - SETTLING_RESERVE), 0.0)
         lead_wait = min(LEAD_SHARE * change, wait)
@@ -127,6 +140,7 @@
             lead_wait,
             follow_wait,
             follow_wait + FOLLOW_SLACK,
+            WATCH_LINK_SHARE * change * link_rate,
         )
 
 
@@ -161,6 +175,11 @@
     return now + wait + slack
 
 
+def largest_answer(times: ReaderTimes, call: StoreCall) -> float:
+    """Return the bytes beyond which an answer to a call is not taken."""
+    return times.largest_watch if isinstance(call, WatchEntries) else math.inf
+
+
 def is_current(tables: Tables, times: ReaderTimes, now: float) -> bool:
     """Whether every change older than the bound is certainly in force here."""
     return now - tables.reader.current_at <= times.current
@@ -197,7 +216,9 @@
     match answer:
         case ReaderNews():
             take_news(tables, times, answer, sent_at, now, actions)
-        case HistoryLost() | Refused() | Unanswered() if isinstance(call, FollowReader):
+        case AnswerTooLarge() | HistoryLost() | Refused() | Unanswered() if isinstance(
+            call, FollowReader
+        ):
             take_failure(tables, answer, now, actions)
         case PeerCopy():
             take_copy(tables, answer, sent_at, now, actions)
@@ -207,6 +228,10 @@
         case Changes():
             note_success(tables, now, actions)
             take_changes(tables, call, answer, sent_at, now, actions)
+        case AnswerTooLarge():
+            note_success(tables, now, actions)
+            start_list(tables)
+            tables.reader.call_at = now
         case HistoryLost():
             note_success(tables, now, actions)
             actions.append(
--- a/tests/test_daemons/test_http_client.py
+++ b/tests/test_daemons/test_http_client.py
@@ -5,7 +5,7 @@
 import socket
 from selectors import DefaultSelector
 
-from citronspring.daemons.http_client import HttpClient
+from citronspring.daemons.http_client import TOO_LARGE, HttpClient
 from citronspring.endpoints import Endpoint
 from citronspring.http_request import HttpRequest
 
@@ -19,7 +19,7 @@
 class Call:
     """A call to a server that the test plays, in a time that the test moves."""
 
-    def __init__(self):
+    def __init__(self, largest=1e6):
         self.selector = DefaultSelector()
         listener = socket.create_server(("127.0.0.1", 0))
         self.client = HttpClient(
@@ -28,7 +28,8 @@
         self.now = 100.0
         self.ended = []
         request = HttpRequest("GET", "/everything")
-        self.client.send(request, self.now + PATIENCE, self.now, self.end)
+        deadline = self.now + PATIENCE
+        self.client.send(request, deadline, self.now, self.end, largest)
         self.server, _ = listener.accept()
         listener.close()
         self.turn()
@@ -80,3 +81,30 @@
     call.now += PATIENCE
     call.turn()
     assert call.ended == [(0, b"no answer in time")]
+
+
+def test_answer_that_is_too_large_is_not_taken_in():
+    """A watch is answered with 13 MB, which would fill the host's link for 21 s.
+
+    The head of the answer tells the size; the connection is closed on the rest.
+    """
+    call = Call(largest=100.0)
+    call.give(b"HTTP/1.1 200 OK\r\nContent-Length: 101\r\n\r\nxx", 0.01)
+    assert call.ended == [(0, TOO_LARGE)]
+    assert call.client.sock is None
+
+
+def test_answer_that_does_not_tell_its_size_is_cut_at_the_largest():
+    call = Call(largest=100.0)
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    call.give(head + b"64\r\n" + b"x" * 100 + b"\r\n", 0.01)
+    assert call.ended == []
+    call.give(b"1\r\nx\r\n", 0.01)
+    assert call.ended == [(0, TOO_LARGE)]
+
+
+def test_answer_of_the_largest_size_is_taken():
+    call = Call(largest=100.0)
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n"
+    call.give(head + b"x" * 100, 0.01)
+    assert call.ended == [(200, b"x" * 100)]
--- a/tests/test_emulator/test_large_configurations.py
+++ b/tests/test_emulator/test_large_configurations.py
@@ -29,3 +29,15 @@
     load = change_configuration(2800, gap=2.08, changes=2)
     outcome = play(1, SMALL_LINKS, calm=True, load=load)
     assert outcome.broken == []
+
+
+def test_many_versions_in_a_row_are_not_all_taken_in():
+    """Twenty changes of a configuration of 700 KB are accepted within two seconds.
+
+    A watch brings each of them whole: after the first, nineteen, 13 MB, which keep a
+    link of 5 Mbit/s busy for 21 s. Hosts were at the first version to the end of the
+    run, and heard of no target that left; a list holds only the newest.
+    """
+    load = change_configuration(2800, gap=0.1, changes=20)
+    outcome = play(1, SMALL_LINKS, calm=True, load=load)
+    assert outcome.broken == []
--- a/tests/test_tokens/test_reader.py
+++ b/tests/test_tokens/test_reader.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import math
+
 import pytest
 
 from citronspring.tokens.messages import (
+    AnswerTooLarge,
     Changes,
     HistoryLost,
     ListEntries,
@@ -21,6 +24,7 @@
 )
 from tests.test_tokens.driver import (
     BOUND,
+    SETTLING,
     Driver,
     make_configuration,
     make_target,
@@ -206,3 +210,26 @@
     driver.now += 5.0
     driver.answer(Changes((), None), sent_at)
     assert not is_current(driver.tables, driver.core.times, driver.now)
+
+
+def test_watch_that_would_bring_too_much_is_followed_by_a_list():
+    """Many versions of a large configuration are accepted while one comes in.
+
+    The next watch would bring each of them whole. The store is well, so the list
+    goes out at once, and what is known meanwhile stays in force.
+    """
+    driver = Driver(make_target(1))
+    driver.now = max(driver.now, driver.tables.reader.call_at)
+    driver.call = driver.core.next_call(driver.now)
+    driver.answer(AnswerTooLarge())
+    assert driver.tables.reader.failures == 0
+    assert driver.core.next_call(driver.now) == ListEntries()
+    assert driver.core.configured
+
+
+def test_only_answers_of_watches_are_bounded_and_by_the_link():
+    """A list is the smallest way to learn everything: it is taken at any size."""
+    driver = Driver(make_target(1))
+    driver.core.times = ReaderTimes.from_bounds(4.0, SETTLING, link_rate=625e3)
+    assert driver.core.largest_answer(WatchEntries(1, 0.0)) == 625e3
+    assert driver.core.largest_answer(ListEntries()) == math.inf
