Send answers out whole, however many writes they take

What is left now goes out as the socket takes it; after a second without a byte the connection is closed and logged. One copy that takes several writes goes out at a time.

--- a/citronspring/daemons/followers.py
+++ b/citronspring/daemons/followers.py
@@ -61,6 +61,8 @@
         """Answer a request, or keep it until there is something to say."""
         now = self.clock()
         if path == COPY_PATH:
+            if self.server.sending:
+                return 503, "another host is being answered\n"
             return self.core.copy(now)
         asked = NEWS.fullmatch(path)
         if asked is None:
@@ -86,6 +88,7 @@
 
     def run(self, now: float) -> None:
         """Answer those that have waited for what is known now."""
+        self.server.run(now)
         if not self.polls:
             return
         for connection, poll in list(self.polls.items()):
--- a/citronspring/daemons/http_client.py
+++ b/citronspring/daemons/http_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import math
 import socket
 from selectors import EVENT_READ, EVENT_WRITE
 from typing import TYPE_CHECKING
@@ -20,9 +21,9 @@
 #: 100 ms that the slowest link takes, and well below the tightest bound.
 CONNECT_TIMEOUT = 0.6
 
-#: Seconds without a byte after which an answer that has begun to come in is given
-#: up: two lost segments in a row take 0.6 s to come again. With a connection and a
-#: pause, 1.8 s of the tightest settling time of 4 s.
+#: Seconds without a byte after which an answer that has begun to move is given up:
+#: two lost segments in a row take 0.6 s to come again. With a connection and a pause,
+#: 1.8 s of the tightest settling time of 4 s.
 STALL = 1.0
 
 #: Bytes read at once.
@@ -36,6 +37,31 @@
 TOO_LARGE = b"the answer is too large"
 
 
+class Progress:
+    """Counts bytes that have moved, and puts a deadline off while they do.
+
+    Given up by the time since its sending, a large answer on a small link was begun
+    anew for ever, and hosts never got a configuration of 700 KB.
+
+    Parameters
+    ----------
+    deadline : float
+        When to give up if nothing moves at all.
+    """
+
+    def __init__(self, deadline: float = -math.inf) -> None:
+        self.deadline = deadline
+        self.moved = 0
+        #: Bytes that had moved at the last look.
+        self.seen = 0
+
+    def look(self, now: float) -> None:
+        """Put the deadline off if bytes have moved since the last look."""
+        if self.moved > self.seen:
+            self.seen = self.moved
+            self.deadline = max(self.deadline, now + STALL)
+
+
 class HttpClient:
     """A kept connection to one server.
 
@@ -55,17 +81,13 @@
         self.outgoing = b""
         #: Called with status and body, or with 0 and the cause of a failure.
         self.done: Callable[[int, bytes], None] | None = None
-        self.deadline = 0.0
+        self.progress = Progress()
         self.connect_deadline = 0.0
         self.parser: HttpResponseParser | None = None
         self.body = bytearray()
         #: Largest body that is taken, and the one that the answer's head announces.
         self.largest: float = LARGEST_ANSWER
         self.announced = 0
-        #: Bytes of the last answer that have come, heads included, and how many of
-        #: them had when the deadline was last looked at.
-        self.received = 0
-        self.seen = 0
 
     @property
     def busy(self) -> bool:
@@ -86,11 +108,10 @@
         """
         self.outgoing = self.encode(request)
         self.done = done
-        self.deadline = deadline
+        self.progress = Progress(deadline)
         self.largest = min(largest, LARGEST_ANSWER)
         self.announced = 0
         self.body.clear()
-        self.received = self.seen = 0
         self.parser = HttpResponseParser(self)
         if self.sock is None:
             self.connect_deadline = now + CONNECT_TIMEOUT
@@ -111,16 +132,12 @@
     def next_deadline(self) -> float:
         """Return the time at which the call under way is given up."""
         if self.connected:
-            return self.deadline
-        return min(self.deadline, self.connect_deadline)
+            return self.progress.deadline
+        return min(self.progress.deadline, self.connect_deadline)
 
     def check_deadline(self, now: float) -> None:
         """Give the call up if its time has passed, and nothing is coming in."""
-        if self.received > self.seen:
-            # Given up by the time since its sending, a large answer on a small link
-            # was begun anew for ever, and hosts never got a configuration of 700 KB.
-            self.seen = self.received
-            self.deadline = max(self.deadline, now + STALL)
+        self.progress.look(now)
         if self.busy and now >= self.next_deadline():
             cause = b"no answer in time" if self.connected else b"no connection in time"
             self.fail(cause)
@@ -180,7 +197,7 @@
         if not data or not self.busy or self.parser is None:
             self.fail(b"the connection was closed")
             return
-        self.received += len(data)
+        self.progress.moved += len(data)
         try:
             self.parser.feed_data(data)
         except HttpParserError as error:
--- a/citronspring/daemons/http_server.py
+++ b/citronspring/daemons/http_server.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import socket
-from selectors import EVENT_READ
+from selectors import EVENT_READ, EVENT_WRITE
 from typing import TYPE_CHECKING
 
 from httptools import HttpParserError, HttpRequestParser
 
+from citronspring.daemons.http_client import Progress
 from citronspring.events import ANSWER_CUT
 
 if TYPE_CHECKING:
@@ -61,6 +62,8 @@
         self.write = write
         self.most_connections = most_connections
         self.connections: dict[ServerConnection, None] = {}
+        #: Those of them whose answer is still going out.
+        self.sending: set[ServerConnection] = set()
         self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.setblocking(False)
@@ -80,14 +83,20 @@
         connection = ServerConnection(self, sock)
         self.connections[connection] = None
 
-    def note_cut(self, connection: ServerConnection, sent: int, size: int) -> None:
+    def run(self, now: float) -> None:
+        """Close the connections whose other side no longer takes its answer."""
+        for connection in [one for one in self.sending if one.is_stuck(now)]:
+            self.note_cut(connection)
+            connection.close()
+
+    def note_cut(self, connection: ServerConnection) -> None:
         """Log that an answer did not go out whole."""
         if self.write is None:
             return
         fields: dict[str, object] = {
             "path": connection.path,
-            "sent": sent,
-            "size": size,
+            "sent": connection.progress.moved,
+            "left": len(connection.outgoing),
         }
         self.write(ANSWER_CUT.number, fields)
 
@@ -99,11 +108,21 @@
         self.server = server
         self.sock = sock
         self.path = ""
+        #: What has not gone out yet, and whether it still does.
+        self.outgoing = b""
+        self.progress = Progress()
         self.parser = HttpRequestParser(self)
         sock.setblocking(False)
-        server.selector.register(sock, EVENT_READ, self.read)
+        server.selector.register(sock, EVENT_READ, self.handle)
+
+    def handle(self, mask: int) -> None:
+        """Go on after the selector said that the socket is ready."""
+        if mask & EVENT_WRITE:
+            self.send()
+        if mask & EVENT_READ and not self.closed:
+            self.read()
 
-    def read(self, mask: int) -> None:
+    def read(self) -> None:
         """Take bytes of a request."""
         try:
             data = self.sock.recv(READ_SIZE)
@@ -142,23 +161,46 @@
             f"HTTP/1.1 {status} {REASONS[status]}\r\n"
             f"Content-Length: {len(body)}\r\nContent-Type: text/plain\r\n\r\n"
         )
+        self.outgoing += head.encode() + body
+        self.progress = Progress()
+        self.send()
+
+    def send(self) -> None:
+        """Send what the socket takes; the rest goes out when it takes more."""
         try:
-            # A reader that takes less than a whole answer gets the rest never; the
-            # connection is closed, so that nothing waits here for it.
-            sent = self.sock.send(head.encode() + body)
-            if sent < len(head) + len(body):
-                self.server.note_cut(self, sent, len(head) + len(body))
-                self.close()
-                return
+            sent = self.sock.send(self.outgoing)
+        except BlockingIOError:
+            return
         except OSError:
             self.close()
             return
-        if not self.parser.should_keep_alive():
+        self.progress.moved += sent
+        self.outgoing = self.outgoing[sent:]
+        if not self.outgoing and not self.parser.should_keep_alive():
             self.close()
+            return
+        self.wait_to_send(bool(self.outgoing))
+
+    def wait_to_send(self, waits: bool) -> None:
+        """Have the selector tell, or no longer, when the socket takes more."""
+        if waits == (self in self.server.sending):
+            return
+        if waits:
+            self.server.sending.add(self)
+        else:
+            self.server.sending.discard(self)
+        wanted = EVENT_READ | EVENT_WRITE if waits else EVENT_READ
+        self.server.selector.modify(self.sock, wanted, self.handle)
+
+    def is_stuck(self, now: float) -> bool:
+        """Whether the other side has taken nothing of its answer for too long."""
+        self.progress.look(now)
+        return now >= self.progress.deadline
 
     def close(self) -> None:
         """Close the connection."""
         if self.server.connections.pop(self, self) is self:
             return
+        self.server.sending.discard(self)
         self.server.selector.unregister(self.sock)
         self.sock.close()
--- a/citronspring/daemons/store_calls.py
+++ b/citronspring/daemons/store_calls.py
@@ -161,7 +161,7 @@
             "to": str(client.endpoint),
             "cause": cause,
             "took": round(now - sent_at, 3),
-            "received": client.received,
+            "received": client.progress.moved,
         }
         self.perform([Log(CALL_FAILED.number, fields)], now)
 
--- a/citronspring/daemons/token_host.py
+++ b/citronspring/daemons/token_host.py
@@ -155,6 +155,7 @@
             self.perform(self.core.tick(now), now)
         self.calls.run(now)
         self.followers.run(now)
+        self.server.run(now)
         self.start_receiving(now)
         self.check_settings(now)
         self.stopping = self.core.may_stop(now)
--- a/tests/test_daemons/test_http_server.py
+++ b/tests/test_daemons/test_http_server.py
@@ -9,6 +9,7 @@
 
 from citronspring.daemons.http_server import HttpServer
 from citronspring.endpoints import Endpoint
+from citronspring.events import ANSWER_CUT
 
 #: Turns of the selector within which an answer must be there.
 TURNS = 200
@@ -105,6 +106,31 @@
     assert len(served.server.connections) == 2
 
 
+def test_answer_that_nobody_takes_is_cut_and_logged():
+    """A follower freezes in the middle of a large answer.
+
+    What has not gone out is memory of the host's; after a second without a byte the
+    connection is closed, and the log tells how much was left.
+    """
+    served = Served(lambda path, connection: (200, "x" * 20_000_000))
+    logged = []
+    served.server.write = lambda number, fields: logged.append((number, fields))
+    client = served.connect()
+    client.sendall(b"GET /news HTTP/1.1\r\nHost: a\r\n\r\n")
+    for _ in range(20):
+        served.turn()
+    served.server.run(100.0)
+    served.server.run(100.9)
+    assert served.server.sending
+    served.server.run(101.0)
+    assert not served.server.sending
+    assert not served.server.connections
+    ((number, fields),) = logged
+    assert number == ANSWER_CUT.number
+    assert fields["sent"] > 0
+    assert fields["left"] > 0
+
+
 def test_answer_beyond_a_socket_buffer_goes_out_whole():
     """A follower that its reader answers with 200 KB finds the connection closed.
 
