Keep the shards that a read out of time has brought

The incident's cause elsewhere: a host of the first mode reads up to 128 shards one after the other within 2 s, and an attempt that ran out of time forgot all of them, so that a platform 16 ms away, each answer in time, was never read whole. Shards never change under their digest; they are kept until the catalog is whole. Test first seen failing.

--- a/citronspring/configuration/reader.py
+++ b/citronspring/configuration/reader.py
@@ -45,6 +45,10 @@
     version: int = ABSENT
     head: Head = field(default_factory=Head)
     catalog: Catalog = field(default_factory=Catalog.empty)
+    #: Shards read for a catalog that is not whole yet, by digest. An attempt that ran
+    #: out of time began anew for ever where 128 reads take longer than it has; a
+    #: shard never changes under its digest, so that the next one can go on.
+    unfinished: dict[str, Shard] = field(default_factory=dict)
 
     async def refresh(self) -> Head:
         """Read the head and return the newest one known."""
@@ -119,19 +123,24 @@
         if known.version == version:
             return known
         have = dict(zip(known.head.shards, known.shards, strict=True))
-        shards = []
+        have.update(self.unfinished)
+        # A name of its own: two reads may be under way, and one of them ends first.
+        found = {digest: have[digest] for digest in head.shards if digest in have}
+        self.unfinished = found
         for digest in head.shards:
-            shard = have.get(digest)
-            if shard is None:
-                shard = await self.read_value(SHARD, digest, Shard())
+            if digest in found:
+                continue
+            shard = await self.read_value(SHARD, digest, Shard())
             if shard is None:
                 return None
-            shards.append(shard)
+            found[digest] = shard
+        shards = [found[digest] for digest in head.shards]
         templates: Templates | None = known.templates
         if head.templates != known.head.templates:
             templates = await self.read_value(TEMPLATES, head.templates, Templates())
         if templates is None:
             return None
+        self.unfinished = {}
         return Catalog(version, head, tuple(shards), templates)
 
     async def read_value(
--- a/tests/test_configuration/test_reading.py
+++ b/tests/test_configuration/test_reading.py
@@ -7,7 +7,7 @@
 
 from citronspring.configuration import prepare as prepare_module
 from citronspring.configuration.changes import DeleteAccount
-from citronspring.configuration.shards import HEAD_KEY
+from citronspring.configuration.shards import HEAD_KEY, shard_key
 from citronspring.configuration.store import Committed, ConfigurationStore
 from citronspring.errors import StoredValueError
 from citronspring.standins.memory import MemoryPlatform, Switches
@@ -193,3 +193,30 @@
         await writer.commit(put_template("0-web"), 0.0)
     assert seen == [1]
     assert await reader.watch_head(0) == 1
+
+
+def test_a_read_that_ran_out_of_time_is_gone_on_with():
+    """A host starts, and its way to the platform is long: 128 shards take over 2 s.
+
+    Each attempt is given up after that time. Were its shards forgotten, the next one
+    would end no further, and the host would serve nobody, though every single read
+    is answered.
+    """
+    platform = make_platform()
+    for number in range(40):
+        change = put(f"1-{number}", f"account-{number}", ip=f"192.0.2.{number + 1}")
+        call(make_store(platform).commit(change, 0.0))
+    named = {shard_key(digest) for digest in head_of(platform).shards if digest}
+    store = make_store(platform)
+    asked = []
+    for _ in range(len(named)):
+        attempt = Operator(store.read_snapshot())
+        for _ in range(6):
+            asked.append(attempt.next_call[1])
+            attempt.step()
+            if attempt.done:
+                assert len(attempt.result.accounts) == 40
+                assert sorted(named) == sorted(key for key in asked if key in named)
+                return
+        attempt.coroutine.close()
+    raise AssertionError("the configuration was never read whole")
