--- a/citronspring/emulator/faults.py
+++ b/citronspring/emulator/faults.py
@@ -25,6 +25,15 @@
 #: Faults of a run, at least and at most.
 FAULTS = (2, 6)
 
+#: Routes by which a configuration grows, and the most without traffic: with 1 MB the
+#: platform's store takes no larger one.
+GROWTH = 2000
+MOST_IDLE_ROUTES = 4000
+
+#: Changes in a row, and the seconds between them.
+STORM = 20
+STORM_GAP = 0.1
+
 #: Share of datagrams that a bad link loses.
 BAD_LOSS = 0.03
 
@@ -204,6 +213,19 @@
         world.clock.after(number * 0.4, world.change_configuration)
 
 
+def grow_configuration(world: World, fault: Fault) -> None:
+    """The configuration grows by thousands of routes, and changes again soon after."""
+    world.idle_routes = min(world.idle_routes + GROWTH, MOST_IDLE_ROUTES)
+    world.change_configuration()
+    world.clock.after(fault.seconds, world.change_configuration)
+
+
+def storm_configuration(world: World, fault: Fault) -> None:
+    """The operators change the configuration many times in a row."""
+    for number in range(STORM):
+        world.clock.after(number * STORM_GAP, world.change_configuration)
+
+
 # Of the host that reads the store for its zone ------------------------------------
 
 
@@ -289,3 +311,11 @@
     "kill-reader": kill_reader,
     "revoke-reader": revoke_reader,
 }
+
+#: The same, and configurations that grow to 700 KB and more. For runs in which answers
+#: of the store take the time that a link needs for them.
+LARGE_KINDS: dict[str, Befall] = {
+    **READER_KINDS,
+    "grow-configuration": grow_configuration,
+    "storm-configuration": storm_configuration,
+}
--- a/tests/test_emulator/test_large_configurations.py
+++ b/tests/test_emulator/test_large_configurations.py
@@ -2,9 +2,15 @@
 
 from __future__ import annotations
 
+import math
+
+import pytest
+
+from citronspring.emulator.faults import LARGE_KINDS
 from citronspring.emulator.loads import change_configuration
 from citronspring.emulator.run import play
 from citronspring.emulator.world import Sizes
+from citronspring.tokens.messages import Unanswered
 
 #: Nine hosts on links of 5 Mbit/s, with the bounds of deployments that have such.
 SMALL_LINKS = Sizes(
@@ -41,3 +47,37 @@
     load = change_configuration(2800, gap=0.1, changes=20)
     outcome = play(1, SMALL_LINKS, calm=True, load=load)
     assert outcome.broken == []
+
+
+@pytest.mark.parametrize("seed", range(3000, 3012))
+def test_promises_hold_under_faults_while_configurations_are_large(seed):
+    """Readers are lost, the store is silent or slow, hosts start anew, all at 1 MB."""
+    outcome = play(seed, SMALL_LINKS, kinds=LARGE_KINDS)
+    assert outcome.broken == [], outcome.faults_text
+    assert outcome.served > 0.8 * outcome.requests
+
+
+def give_up_what_is_coming_in(patch):
+    def expire(pending):
+        pending.answer(Unanswered("no answer in time"))
+
+    patch("citronspring.emulator.hosts.Pending.expire", expire)
+
+
+def take_every_watch(patch):
+    patch("citronspring.tokens.balancer.largest_answer", lambda times, call: math.inf)
+
+
+@pytest.mark.parametrize(
+    ("mutant", "load"),
+    [
+        (give_up_what_is_coming_in, change_configuration(5600, gap=2.08, changes=2)),
+        (take_every_watch, change_configuration(2800, gap=0.1, changes=20)),
+    ],
+    ids=["give_up_what_is_coming_in", "take_every_watch"],
+)
+def test_checker_notices_hosts_that_never_take_it_in(mutant, load, monkeypatch):
+    assert play(1, SMALL_LINKS, calm=True, load=load).broken == []
+    mutant(monkeypatch.setattr)
+    outcome = play(1, SMALL_LINKS, calm=True, load=load)
+    assert any("changes in force" in line for line in outcome.broken)
