--- a/citronspring/tokens/election.py
+++ b/citronspring/tokens/election.py
@@ -78,25 +78,30 @@
         election.lease = 0
     if tables.leave_deadline is not None:
         return give_up(tables)
-    if tables.zone in tables.zone_readers:
-        election.claim_at = math.inf
-        held = election.lease and holds_zone(tables)
-        # A reader that cannot read must not keep others from it.
-        if held and now >= election.renew_at and not tables.reader.failures:
-            return RenewLease(election.lease)
-        return None
-    if not tables.reader.listed or tables.reader.failures:
-        election.claim_at = math.inf
-        return None
-    if election.claim_at == math.inf:
-        election.claim_at = now + delay
-    if now < election.claim_at:
+    plan_claim(tables, delay, now)
+    if now < next_election_deadline(tables):
         return None
+    if tables.zone in tables.zone_readers:
+        return RenewLease(election.lease)
     if not election.lease:
         return GrantLease(LEASE_SECONDS)
     return ClaimZone(election.lease, tables.zone, tables.host_id, endpoint)
 
 
+def plan_claim(tables: Tables, delay: float, now: float) -> None:
+    """Decide when this host claims its zone, once nobody is known to read for it."""
+    election = tables.election
+    if tables.zone in tables.zone_readers or not can_read(tables):
+        election.claim_at = math.inf
+    elif election.claim_at == math.inf:
+        election.claim_at = now + delay
+
+
+def can_read(tables: Tables) -> bool:
+    """Whether this host has read the store, and its last call was answered."""
+    return tables.reader.listed and not tables.reader.failures
+
+
 def give_up(tables: Tables) -> EndLease | None:
     """Return the call by which a leaving host gives up its lease, once."""
     lease, tables.election.lease = tables.election.lease, 0
@@ -157,9 +162,9 @@
     election = tables.election
     if tables.leave_deadline is not None:
         return -math.inf if election.lease else math.inf
-    if tables.zone_readers.get(tables.zone) is None:
-        readable = tables.reader.listed and not tables.reader.failures
-        return election.claim_at if readable else math.inf
+    if tables.zone not in tables.zone_readers:
+        return election.claim_at if can_read(tables) else math.inf
+    # A reader that cannot read must not keep others from it.
     if not election.lease or tables.reader.failures or not holds_zone(tables):
         return math.inf
     return election.renew_at
