--- a/soak/store.py
+++ b/soak/store.py
@@ -7,9 +7,12 @@
 from base64 import b64encode
 from contextlib import contextmanager
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
-from time import monotonic
+from time import monotonic, sleep
 from urllib.parse import parse_qs, urlsplit
 
+#: Seconds between the pieces of an answer that goes out slowly.
+PIECE_SECONDS = 0.05
+
 OK, MISSING, CONDITION_FAILED = 200, 404, 412
 
 
@@ -25,6 +28,8 @@
         self.events = []
         #: HTTP status that every call gets; None to serve.
         self.refusal = None
+        #: Bytes a second at which an answer goes out; None for all at once.
+        self.rate = None
         self.calls = []
         #: Running leases: the time at which each ends.
         self.leases = {}
@@ -123,6 +128,17 @@
             return {"events": events, "store_revision": self.revision}
 
 
+def pieces(body, rate):
+    """Yield a body piece by piece, at a rate in bytes a second."""
+    if rate is None:
+        yield body
+        return
+    size = max(1, int(rate * PIECE_SECONDS))
+    for start in range(0, len(body), size):
+        yield body[start : start + size]
+        sleep(PIECE_SECONDS)
+
+
 @contextmanager
 def serve(store):
     """Serve a stand-in on loopback; yields its port."""
@@ -146,7 +162,8 @@
             self.send_response(status)
             self.send_header("Content-Length", str(len(body)))
             self.end_headers()
-            self.wfile.write(body)
+            for piece in pieces(body, store.rate):
+                self.wfile.write(piece)
 
         def log_message(self, *args):
             pass
--- a/tests/test_platform/test_process.py
+++ b/tests/test_platform/test_process.py
@@ -18,7 +18,7 @@
 
 from soak.hosts import loopback_net
 from soak.store import StoreStandIn, serve
-from tests.test_platform.test_store import CONFIGURATION, TARGET
+from tests.test_platform.test_store import CONFIGURATION, ROUTE, TARGET
 
 #: Longest wait for something that happens within a second.
 PATIENCE = 20.0
@@ -26,6 +26,9 @@
 SYN, ACK = 16, 2
 PACKETS, READINESS, COPIES = 7700, 7701, 7702
 
+#: Calls that read the store.
+READS = ("/api/kv-range", "/api/kv-watch")
+
 #: Last numbers of the hosts' addresses, one for each.
 NUMBERS = itertools.count(20)
 
@@ -360,3 +363,30 @@
         other.process.wait()
         other.target.close()
         other.caller.close()
+
+
+def test_configuration_that_comes_in_slowly_is_taken_in_at_the_first_try(serving):
+    """A configuration of 400 KB comes in over four seconds; the store is well.
+
+    The host gave its call up after 2.75 s at most and asked for all of it again,
+    for as long as the link was slow.
+    """
+    serving.store.rate = 90_000.0
+    idle = [
+        {**ROUTE, "name": f"idle-{number}", "prefix": f"/{1000 + number}/"}
+        for number in range(2000)
+    ]
+    large = {**CONFIGURATION, "version": 9, "routes": CONFIGURATION["routes"] + idle}
+    serving.store.put("op/config", large)
+    before = len(serving.store.calls)
+    applied = eventually(
+        lambda: [
+            line
+            for line in serving.logged("configuration-applied")
+            if line["revision"] == 9
+        ]
+    )
+    assert applied[0]["routes"] == len(CONFIGURATION["routes"]) + 2000
+    assert not serving.logged("store-lost")
+    reads = [path for path in serving.store.calls[before:] if path in READS]
+    assert len(reads) <= 1
