--- a/citronspring/daemons/followers.py
+++ b/citronspring/daemons/followers.py
@@ -63,6 +63,7 @@
         """Answer a request, or keep it until there is something to say."""
         now = self.clock()
         if path == COPY_PATH:
+            # Copies to all hosts that start at once would fill the link.
             if self.server.sending:
                 return 503, b"another host is being answered\n"
             return self.core.copy(now)
--- a/citronspring/daemons/http_server.py
+++ b/citronspring/daemons/http_server.py
@@ -108,7 +108,7 @@
         self.server = server
         self.sock = sock
         self.path = ""
-        #: What has not gone out yet, and whether it still does.
+        #: Bytes of answers that have not gone out yet, and how the rest moves.
         self.outgoing = b""
         self.progress = Progress()
         self.parser = HttpRequestParser(self)
--- a/citronspring/daemons/store_calls.py
+++ b/citronspring/daemons/store_calls.py
@@ -121,7 +121,7 @@
 
         def done(status: int, body: bytes) -> None:
             answer = self.decode(call, status, body)
-            self.note_failure(call, answer, now)
+            self.log_failure(call, answer, now)
             self.take_answer(call, answer, now)
 
         deadline = self.core.answer_deadline(call, now)
@@ -138,9 +138,7 @@
                 largest = self.core.largest_answer(call)
                 self.store.send(request, deadline, now, done, largest)
 
-    def note_failure(
-        self, call: StoreCall, answer: StoreAnswer, sent_at: float
-    ) -> None:
+    def log_failure(self, call: StoreCall, answer: StoreAnswer, sent_at: float) -> None:
         """Log a call that brought nothing, with what had come of its answer."""
         match answer:
             case Unanswered():
--- a/citronspring/daemons/token_host.py
+++ b/citronspring/daemons/token_host.py
@@ -71,7 +71,7 @@
 
 
 def times_of(settings: HostSettings) -> ReaderTimes:
-    """Return the time limits that settings ask for."""
+    """Return the limits of calls that settings ask for."""
     return ReaderTimes.from_bounds(
         settings.change_bound, settings.settling_time, settings.link_rate
     )
@@ -111,7 +111,9 @@
         self.calls = StoreCalls(
             self.core, self.selector, settings, translation, self.perform, boot_clock
         )
-        self.server = HttpServer(self.selector, settings.readiness, self.answer)
+        self.server = HttpServer(
+            self.selector, settings.readiness, self.answer, write=self.write
+        )
         self.followers = Followers(
             self.core, self.selector, settings.copies, boot_clock, self.write
         )
--- a/citronspring/emulator/downloads.py
+++ b/citronspring/emulator/downloads.py
@@ -1,4 +1,4 @@
-"""How long answers of the store take to come in over a host's link."""
+"""Sizes of the store's answers, which decide how long a link needs for them."""
 
 from __future__ import annotations
 
--- a/citronspring/emulator/faults.py
+++ b/citronspring/emulator/faults.py
@@ -25,8 +25,8 @@
 #: Faults of a run, at least and at most.
 FAULTS = (2, 6)
 
-#: Routes by which a configuration grows, and the most without traffic: with 1 MB the
-#: platform's store takes no larger one.
+#: Routes by which a configuration grows, and the most without traffic: 1 MB as the
+#: store answers with it.
 GROWTH = 2000
 MOST_IDLE_ROUTES = 4000
 
