--- a/citronspring/tokens/reader.py
+++ b/citronspring/tokens/reader.py
@@ -99,8 +99,8 @@
 CURRENT_SHARE = 0.8
 
 
-#: Seconds before the end of that by which a host that reads for itself wants the
-#: next confirmation: forty times the usual answer.
+#: Seconds by which a host that reads for itself wants to be confirmed before what it
+#: knows is too old for that: forty times the usual answer.
 CURRENT_MARGIN = 0.15
 
 
