Keep a loopback system's ports until its task group ends

Cause: a system that is described but not started let its reserved range go as soon as nothing named it, while its hosts went on; another worker of the same run then took the same range. Stand-in only; hosts do not import it.

--- a/citronspring/standins/loopback.py
+++ b/citronspring/standins/loopback.py
@@ -50,6 +50,12 @@
     raise SettingsError("no free ports on loopback", "end other stand-in systems")
 
 
+async def hold_ports(reserved: socket.socket) -> None:
+    """Keep a range of ports until the task group ends."""
+    with reserved:
+        await anyio.sleep_forever()
+
+
 @dataclass(slots=True)
 class Loopback:
     """Fabric, callers, targets and hosts as tasks of one group."""
@@ -68,6 +74,9 @@
 
     def __post_init__(self) -> None:
         self.reserved = reserve_ports()
+        # From the first on: hosts may be started before, or without, the fabric, and
+        # another system on the machine would take their ports.
+        self.group.start_soon(hold_ports, self.reserved)
         first_port = self.reserved.getsockname()[1]
         self.tunnel_port = first_port + TUNNEL_OFFSET
         self.ports = itertools.count(first_port)
@@ -85,15 +94,9 @@
 
     async def start(self) -> None:
         """Start the fabric and the callers."""
-        self.group.start_soon(self.hold_ports)
         await self.group.start(self.fabric.run)
         await self.group.start(self.caller.run)
 
-    async def hold_ports(self) -> None:
-        """Keep the ports until the system ends."""
-        with self.reserved:
-            await anyio.sleep_forever()
-
     def describe_hosts(self, count: int) -> list[HostSection]:
         """Return the settings sections of so many hosts."""
         return [self.describe_host(index) for index in range(count)]
--- a/tests/test_daemons/test_control.py
+++ b/tests/test_daemons/test_control.py
@@ -176,3 +176,19 @@
         assert bad not in str(caught.value)
     with pytest.raises(SettingsError):
         read_keys(ControlSection(key_file=str(tmp_path / "none")))
+
+
+async def test_second_system_on_the_machine_gets_ports_of_its_own(snapshot):
+    """Tests run side by side, and a host of one cannot listen on its address.
+
+    A system that was described but not started let its range of ports go as soon as
+    nothing named it; its hosts went on with them. Another worker took the same range:
+    "cannot listen on 127.0.1.1:20003: Address already in use", once in a whole run.
+    """
+    async with anyio.create_task_group() as group:
+        ports = set()
+        for _ in range(2):
+            [daemon] = await start_hosts(group, [FixedSource(snapshot)])
+            ports.add(daemon.settings.host.tunnel.port)
+        assert len(ports) == 2
+        group.cancel_scope.cancel()
