Take a list or copy that is too large for a failure, not for a watch

A list, or a peer's copy, beyond the largest answer was treated as a watch that brings too much: the store was asked again at once and without end, and a peer counted as the store. Test first seen failing. Watches are as they were.

--- a/citronspring/tokens/reader.py
+++ b/citronspring/tokens/reader.py
@@ -247,10 +247,12 @@
         case Changes():
             note_success(tables, now, actions)
             take_changes(tables, call, answer, sent_at, now, actions)
-        case AnswerTooLarge():
+        case AnswerTooLarge() if isinstance(call, WatchEntries):
             note_success(tables, now, actions)
             start_list(tables)
             tables.reader.call_at = now
+        case AnswerTooLarge():
+            note_failure(tables, "the answer is too large", now, actions)
         case HistoryLost():
             note_success(tables, now, actions)
             actions.append(
--- a/tests/test_tokens/test_reader.py
+++ b/tests/test_tokens/test_reader.py
@@ -12,6 +12,7 @@
     HistoryLost,
     ListEntries,
     Page,
+    ReadPeer,
     Refused,
     Removed,
     WatchEntries,
@@ -227,6 +228,21 @@
     assert driver.core.configured
 
 
+@pytest.mark.parametrize("call", [ListEntries(), ReadPeer(0)])
+def test_list_or_copy_that_is_too_large_is_a_failure(call):
+    """A list, or a peer's copy, is larger than any answer that is taken.
+
+    Nothing smaller can be asked for in its place. Taken for a watch that brings too
+    much, the store would be asked again at once and for ever, and a peer's answer
+    would count as one of the store.
+    """
+    driver = Driver(make_target(1))
+    driver.call = call
+    driver.answer(AnswerTooLarge())
+    assert driver.tables.reader.failures == 1
+    assert driver.tables.reader.call_at > driver.now
+
+
 def test_only_answers_of_watches_are_bounded_and_by_the_link():
     """A list is the smallest way to learn everything: it is taken at any size."""
     driver = Driver(make_target(1))
