--- a/citronspring/daemons/followers.py
+++ b/citronspring/daemons/followers.py
@@ -2,24 +2,26 @@
 
 from __future__ import annotations
 
-import re
-from typing import TYPE_CHECKING
-
 from citronspring.daemons.http_server import HttpServer
 from citronspring.daemons.store_calls import COPY_PATH, MILLISECONDS, NEWS_PATH
 from citronspring.events import NEWS_REFUSED
+from citronspring.lean import TYPE_CHECKING
 from citronspring.tokens.copies import OK
 from citronspring.tokens.news import Poll
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from selectors import BaseSelector
 
     from citronspring.daemons.http_server import ServerConnection
+    from citronspring.daemons.poller import Poller
     from citronspring.endpoints import Endpoint
     from citronspring.tokens.balancer import TokenBalancer
 
-NEWS = re.compile(re.escape(NEWS_PATH) + r"\?after=(\d{1,18})&wait=(\d{1,6})")
+#: What precedes the two numbers in the question for news, and their most digits.
+NEWS_PREFIX = f"{NEWS_PATH}?after="
+WAIT_PREFIX = "&wait="
+REVISION_DIGITS = 18
+WAIT_DIGITS = 6
 
 #: Connections of other hosts kept at once: the hosts of a zone, 310 at the size to
 #: design for, with room for as many that start anew.
@@ -33,7 +35,7 @@
     ----------
     core : TokenBalancer
         Knows what they ask for.
-    selector : BaseSelector
+    selector : Poller
         Tells when sockets can be read.
     endpoint : Endpoint
         Where other hosts ask.
@@ -46,7 +48,7 @@
     def __init__(
         self,
         core: TokenBalancer,
-        selector: BaseSelector,
+        selector: Poller,
         endpoint: Endpoint,
         clock: Callable[[], float],
         write: Callable[[int, dict[str, object]], None],
@@ -67,11 +69,9 @@
             if self.server.sending:
                 return 503, b"another host is being answered\n"
             return self.core.copy(now)
-        asked = NEWS.fullmatch(path)
-        if asked is None:
+        poll = read_poll(path, now)
+        if poll is None:
             return 404, f"ask for {COPY_PATH} or {NEWS_PATH}\n".encode()
-        after, wait = asked.groups()
-        poll = Poll(int(after), now, now + int(wait) / MILLISECONDS)
         answer = self.answer_poll(poll, now)
         if answer is None:
             self.polls[connection] = poll
@@ -102,3 +102,17 @@
             if answer is not None:
                 del self.polls[connection]
                 connection.reply(*answer)
+
+
+def read_poll(path: str, now: float) -> Poll | None:
+    """Return what a follower asks for news by, None if the path is no such question."""
+    after, _, wait = path.removeprefix(NEWS_PREFIX).partition(WAIT_PREFIX)
+    numbers = is_number(after, REVISION_DIGITS) and is_number(wait, WAIT_DIGITS)
+    if not (path.startswith(NEWS_PREFIX) and numbers):
+        return None
+    return Poll(int(after), now, now + int(wait) / MILLISECONDS)
+
+
+def is_number(text: str, digits: int) -> bool:
+    """Whether a text is a number of some digits at most, and nothing else."""
+    return text.isascii() and text.isdigit() and len(text) <= digits
--- a/citronspring/daemons/http_client.py
+++ b/citronspring/daemons/http_client.py
@@ -3,18 +3,27 @@
 from __future__ import annotations
 
 import errno
-import math
-import socket
-from selectors import EVENT_READ, EVENT_WRITE
-from typing import TYPE_CHECKING
 
-from httptools import HttpParserError, HttpResponseParser
+from citronspring.daemons.poller import EVENT_READ, EVENT_WRITE
+from citronspring.http_messages import MessageError, MessageReader
+from citronspring.lean import (
+    AF_INET,
+    INFINITY,
+    IPPROTO_TCP,
+    SO_ERROR,
+    SOCK_STREAM,
+    SOL_SOCKET,
+    TCP_NODELAY,
+    TYPE_CHECKING,
+    Socket,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from selectors import BaseSelector
 
+    from citronspring.daemons.poller import Poller
     from citronspring.endpoints import Endpoint
+    from citronspring.http_messages import Message
     from citronspring.http_request import HttpRequest
 
 #: Seconds in which a connection must be made: five lost opening packets of the
@@ -49,7 +58,7 @@
         When to give up if nothing moves at all.
     """
 
-    def __init__(self, deadline: float = -math.inf) -> None:
+    def __init__(self, deadline: float = -INFINITY) -> None:
         self.deadline = deadline
         self.moved = 0
         #: Bytes that had moved at the last look.
@@ -67,27 +76,25 @@
 
     Parameters
     ----------
-    selector : BaseSelector
+    selector : Poller
         Tells when the connection can be read or written; callbacks are its data.
     endpoint : Endpoint
         The server.
     """
 
-    def __init__(self, selector: BaseSelector, endpoint: Endpoint) -> None:
+    def __init__(self, selector: Poller, endpoint: Endpoint) -> None:
         self.selector = selector
         self.endpoint = endpoint
-        self.sock: socket.socket | None = None
+        self.sock: Socket | None = None
         self.connected = False
         self.outgoing = b""
         #: Called with status and body, or with 0 and the cause of a failure.
         self.done: Callable[[int, bytes], None] | None = None
         self.progress = Progress()
         self.connect_deadline = 0.0
-        self.parser: HttpResponseParser | None = None
-        self.body = bytearray()
-        #: Largest body that is taken, and the one that the answer's head announces.
+        self.reader = MessageReader(answers=True)
+        #: Largest body that is taken.
         self.largest: float = LARGEST_ANSWER
-        self.announced = 0
 
     @property
     def busy(self) -> bool:
@@ -110,9 +117,7 @@
         self.done = done
         self.progress = Progress(deadline)
         self.largest = min(largest, LARGEST_ANSWER)
-        self.announced = 0
-        self.body.clear()
-        self.parser = HttpResponseParser(self)
+        self.reader = MessageReader(answers=True)
         if self.sock is None:
             self.connect_deadline = now + CONNECT_TIMEOUT
             self.connect()
@@ -144,9 +149,9 @@
 
     def connect(self) -> None:
         """Start a connection."""
-        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.sock = Socket(AF_INET, SOCK_STREAM)
         self.sock.setblocking(False)
-        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
         code = self.sock.connect_ex((self.endpoint.ip, self.endpoint.port))
         if code not in (0, errno.EINPROGRESS):
             self.fail(errno.errorcode.get(code, "error").encode())
@@ -163,7 +168,7 @@
     def finish_connect(self) -> None:
         """Send the request over a connection that is made, or write on."""
         assert self.sock is not None
-        code = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        code = self.sock.getsockopt(SOL_SOCKET, SO_ERROR)
         if code:
             self.fail(errno.errorcode.get(code, "error").encode())
             return
@@ -194,37 +199,31 @@
         except OSError as error:
             self.fail(str(error).encode())
             return
-        if not data or not self.busy or self.parser is None:
+        if not data or not self.busy:
             self.fail(b"the connection was closed")
             return
         self.progress.moved += len(data)
         try:
-            self.parser.feed_data(data)
-        except HttpParserError as error:
+            self.reader.feed(data)
+            answer = self.reader.next_message()
+        except MessageError as error:
             self.fail(str(error).encode())
             return
-        if self.busy and max(len(self.body), self.announced) > self.largest:
+        if answer is not None:
+            self.take(answer)
+        elif self.reader.size > self.largest:
             self.fail(TOO_LARGE)
 
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Take the size that a body will have; called by the parser."""
-        if name.lower() == b"content-length" and value.isdigit():
-            self.announced = int(value)
-
-    def on_body(self, data: bytes) -> None:
-        """Collect a piece of the body; called by the parser."""
-        self.body += data
-
-    def on_message_complete(self) -> None:
-        """Hand the answer over; called by the parser."""
-        parser, done = self.parser, self.done
-        assert parser is not None
-        assert done is not None
-        status, body = parser.get_status_code(), bytes(self.body)
-        if not parser.should_keep_alive():
+    def take(self, answer: Message) -> None:
+        """Hand an answer over."""
+        if len(answer.body) > self.largest:
+            self.fail(TOO_LARGE)
+            return
+        if not answer.keeps_open:
             self.close()
-        self.done = None
-        done(status, body)
+        done, self.done = self.done, None
+        assert done is not None
+        done(answer.status, answer.body)
 
     def fail(self, cause: bytes) -> None:
         """Close the connection; a call under way has failed."""
--- a/citronspring/daemons/http_server.py
+++ b/citronspring/daemons/http_server.py
@@ -2,20 +2,25 @@
 
 from __future__ import annotations
 
-import socket
-from selectors import EVENT_READ, EVENT_WRITE
-from typing import TYPE_CHECKING
-
-from httptools import HttpParserError, HttpRequestParser
-
 from citronspring.daemons.http_client import Progress
+from citronspring.daemons.poller import EVENT_READ, EVENT_WRITE
 from citronspring.events import ANSWER_CUT
+from citronspring.http_messages import MessageError, MessageReader
+from citronspring.lean import (
+    AF_INET,
+    SO_REUSEADDR,
+    SOCK_STREAM,
+    SOL_SOCKET,
+    TYPE_CHECKING,
+    Socket,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from selectors import BaseSelector
 
+    from citronspring.daemons.poller import Poller
     from citronspring.endpoints import Endpoint
+    from citronspring.http_messages import Message
 
 #: Connections kept at once unless more are asked for; the oldest is closed for
 #: another.
@@ -36,7 +41,7 @@
 
     Parameters
     ----------
-    selector : BaseSelector
+    selector : Poller
         Tells when sockets can be read; callbacks are its data.
     endpoint : Endpoint
         Where it listens.
@@ -51,7 +56,7 @@
 
     def __init__(
         self,
-        selector: BaseSelector,
+        selector: Poller,
         endpoint: Endpoint,
         answer: Callable[[str, ServerConnection], tuple[int, str | bytes] | None],
         most_connections: int = MOST_CONNECTIONS,
@@ -64,8 +69,8 @@
         self.connections: dict[ServerConnection, None] = {}
         #: Those of them whose answer is still going out.
         self.sending: set[ServerConnection] = set()
-        self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener = Socket(AF_INET, SOCK_STREAM)
+        self.listener.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
         self.listener.setblocking(False)
         self.listener.bind((endpoint.ip, endpoint.port))
         self.listener.listen(BACKLOG)
@@ -104,14 +109,16 @@
 class ServerConnection:
     """One connection of `HttpServer`."""
 
-    def __init__(self, server: HttpServer, sock: socket.socket) -> None:
+    def __init__(self, server: HttpServer, sock: Socket) -> None:
         self.server = server
         self.sock = sock
         self.path = ""
         #: Bytes of answers that have not gone out yet, and how the rest moves.
         self.outgoing = b""
         self.progress = Progress()
-        self.parser = HttpRequestParser(self)
+        self.reader = MessageReader(answers=False)
+        #: Whether the other side may send another request.
+        self.keeps_open = True
         sock.setblocking(False)
         server.selector.register(sock, EVENT_READ, self.handle)
 
@@ -129,22 +136,21 @@
             if not data:
                 self.close()
                 return
-            self.parser.feed_data(data)
+            self.reader.feed(data)
+            while not self.closed:
+                request = self.reader.next_message()
+                if request is None:
+                    break
+                self.take_request(request)
         except BlockingIOError:
             return
-        except (OSError, HttpParserError):
+        except (OSError, MessageError):
             self.close()
 
-    def on_message_begin(self) -> None:
-        """Begin another request; called by the parser."""
-        self.path = ""
-
-    def on_url(self, url: bytes) -> None:
-        """Take a piece of the path; called by the parser, for each segment again."""
-        self.path += url.decode("ascii", "replace")
-
-    def on_message_complete(self) -> None:
-        """Answer the request, now or later; called by the parser."""
+    def take_request(self, request: Message) -> None:
+        """Answer a request, now or later."""
+        self.path = request.target
+        self.keeps_open = request.keeps_open
         answer = self.server.answer(self.path, self)
         if answer is not None:
             self.reply(*answer)
@@ -176,7 +182,7 @@
             return
         self.progress.moved += sent
         self.outgoing = self.outgoing[sent:]
-        if not self.outgoing and not self.parser.should_keep_alive():
+        if not self.outgoing and not self.keeps_open:
             self.close()
             return
         self.wait_to_send(bool(self.outgoing))
--- a/citronspring/daemons/line_log.py
+++ b/citronspring/daemons/line_log.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-import json
 import os
 import time
-from collections import Counter
-from typing import TYPE_CHECKING
 
 from citronspring.events import CATALOGUE, LINES_LEFT_OUT, UNKNOWN_EVENT
+from citronspring.json_text import writer_of
+from citronspring.lean import TYPE_CHECKING, Counter
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -45,6 +44,7 @@
     ) -> None:
         self.descriptor = descriptor
         self.show_flow = show_flow
+        self.as_json = writer_of(self.show)
         self.host_id = host_id
         self.waiting = bytearray()
         self.written: Counter[int] = Counter()
@@ -82,9 +82,7 @@
             "level": event.level.value,
             **fields,
         }
-        encoded = (
-            json.dumps(line, default=self.show, separators=(",", ":")).encode() + b"\n"
-        )
+        encoded = self.as_json(line).encode() + b"\n"
         if len(self.waiting) + len(encoded) > MOST_WAITING:
             self.left_out[number] += 1
             return
--- /dev/null
+++ b/citronspring/daemons/poller.py
@@ -0,0 +1,93 @@
+"""Waits for sockets, as a selector of the standard library does, at less of a start.
+
+See `citronspring.lean` for why a host does not import ``selectors``.
+"""
+
+from __future__ import annotations
+
+from select import EPOLLIN, EPOLLOUT, epoll
+
+from citronspring.lean import TYPE_CHECKING
+from citronspring.records import record
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from citronspring.lean import Socket
+
+#: What a socket is waited for, as in ``selectors``.
+EVENT_READ = 1
+EVENT_WRITE = 2
+
+
+@record
+class Registration:
+    """A socket that is waited for."""
+
+    fileobj: Socket
+    events: int
+    #: Called with what the socket is ready for.
+    data: Callable[[int], None]
+
+
+class Poller:
+    """The part of ``selectors.EpollSelector`` that a host uses."""
+
+    def __init__(self) -> None:
+        self.epoll = epoll()
+        self.registrations: dict[int, Registration] = {}
+        #: Registrations by socket.
+        self.map: dict[Socket, Registration] = {}
+
+    def register(
+        self, sock: Socket, events: int, callback: Callable[[int], None]
+    ) -> None:
+        """Wait for a socket from now on."""
+        registration = Registration(sock, events, callback)
+        self.epoll.register(sock.fileno(), kernel_events(events))
+        self.registrations[sock.fileno()] = self.map[sock] = registration
+
+    def modify(
+        self, sock: Socket, events: int, callback: Callable[[int], None]
+    ) -> None:
+        """Wait for something else of a socket."""
+        registration = self.map[sock]
+        registration.events = events
+        registration.data = callback
+        self.epoll.modify(sock.fileno(), kernel_events(events))
+
+    def unregister(self, sock: Socket) -> None:
+        """Wait for a socket no longer."""
+        del self.map[sock]
+        del self.registrations[sock.fileno()]
+        self.epoll.unregister(sock.fileno())
+
+    def get_map(self) -> Mapping[Socket, Registration]:
+        """Return what is registered, by socket."""
+        return self.map
+
+    def select(self, timeout: float) -> list[tuple[Registration, int]]:
+        """Return the sockets that are ready, after some seconds at the latest."""
+        ready = []
+        for descriptor, events in self.epoll.poll(timeout):
+            registration = self.registrations[descriptor]
+            ready.append((registration, ready_for(events) & registration.events))
+        return ready
+
+    def close(self) -> None:
+        """Wait for nothing more."""
+        self.epoll.close()
+
+
+def kernel_events(events: int) -> int:
+    """Return what the kernel is asked to wait for."""
+    read = EPOLLIN if events & EVENT_READ else 0
+    write = EPOLLOUT if events & EVENT_WRITE else 0
+    return read | write
+
+
+def ready_for(events: int) -> int:
+    """Return what a socket is ready for; an error shows at reading and at writing."""
+    read = EVENT_READ if events & ~EPOLLOUT else 0
+    write = EVENT_WRITE if events & ~EPOLLIN else 0
+    return read | write
--- a/citronspring/daemons/store_calls.py
+++ b/citronspring/daemons/store_calls.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 from citronspring.daemons.http_client import TOO_LARGE, HttpClient
 from citronspring.events import CALL_FAILED
 from citronspring.http_request import HttpRequest
+from citronspring.lean import TYPE_CHECKING
 from citronspring.tokens.copies import decode_copy
 from citronspring.tokens.election import CALL_TIMEOUT, claim_delay
 from citronspring.tokens.messages import (
@@ -22,8 +21,8 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from selectors import BaseSelector
 
+    from citronspring.daemons.poller import Poller
     from citronspring.daemons.translation import Translation
     from citronspring.endpoints import Endpoint
     from citronspring.host_settings import HostSettings
@@ -50,7 +49,7 @@
     ----------
     core : TokenBalancer
         Decides what is called, and takes the answers.
-    selector : BaseSelector
+    selector : Poller
         Tells when connections can be read or written.
     settings : HostSettings
         Addresses, the host's name and its share of a processor.
@@ -65,7 +64,7 @@
     def __init__(
         self,
         core: TokenBalancer,
-        selector: BaseSelector,
+        selector: Poller,
         settings: HostSettings,
         translation: Translation,
         perform: Callable[[list[Action], float], None],
--- a/citronspring/daemons/token_host.py
+++ b/citronspring/daemons/token_host.py
@@ -2,16 +2,12 @@
 
 from __future__ import annotations
 
-import json
-import signal
-import socket
 import time
-from selectors import EVENT_READ, DefaultSelector
-from typing import TYPE_CHECKING
 
 from citronspring.daemons.followers import Followers
 from citronspring.daemons.http_server import HttpServer
 from citronspring.daemons.line_log import LineLog
+from citronspring.daemons.poller import EVENT_READ, Poller
 from citronspring.daemons.store_calls import StoreCalls
 from citronspring.errors import MalformedPacketError, SettingsError
 from citronspring.events import (
@@ -24,6 +20,21 @@
     STOPPED,
 )
 from citronspring.flags import SYN
+from citronspring.lean import (
+    AF_INET,
+    SIGHUP,
+    SIGINT,
+    SIGTERM,
+    SIGUSR1,
+    SO_RCVBUF,
+    SOCK_DGRAM,
+    SOL_SOCKET,
+    TYPE_CHECKING,
+    Socket,
+    set_signal_handler,
+    set_wakeup_fd,
+    socketpair,
+)
 from citronspring.tokens.balancer import TokenBalancer
 from citronspring.tokens.messages import Drop, Forward, Log, ResetCaller
 from citronspring.tokens.news import LINK_SHARE
@@ -102,7 +113,7 @@
         # start for longer than a pause is too old to be placed.
         self.core.begin_turn(self.started_at)
         self.log = LineLog(1, settings.host_id, translation.show_flow)
-        self.selector = DefaultSelector()
+        self.selector = Poller()
         self.packets = self.bind_packets()
         self.receiving = False
         #: False while packets may still wait: after a pause of the process, answers
@@ -125,11 +136,11 @@
         """Set what followers may take of the host's link."""
         self.core.tables.news.rate = LINK_SHARE * settings.link_rate
 
-    def bind_packets(self) -> socket.socket:
+    def bind_packets(self) -> Socket:
         """Return the socket that callers' packets come to."""
-        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        sock = Socket(AF_INET, SOCK_DGRAM)
         sock.setblocking(False)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
+        sock.setsockopt(SOL_SOCKET, SO_RCVBUF, RECEIVE_BUFFER)
         sock.bind((self.settings.packets.ip, self.settings.packets.port))
         return sock
 
@@ -278,6 +289,9 @@
             return (200, "ready\n") if self.core.ready else (503, "not ready\n")
         now = boot_clock()
         if path == "/state":
+            # Imported when it is first asked for: each module at start is dark time.
+            import json
+
             return 200, json.dumps(self.core.dump(now), default=str) + "\n"
         if path == "/metrics":
             return 200, self.core.metrics(now)
@@ -285,16 +299,16 @@
 
     def catch_signals(self) -> None:
         """Have signals wake the selector; their handlers run between turns."""
-        receiver, sender = socket.socketpair()
+        receiver, sender = socketpair()
         receiver.setblocking(False)
         sender.setblocking(False)
-        signal.set_wakeup_fd(sender.fileno(), warn_on_full_buffer=False)
+        set_wakeup_fd(sender.fileno(), warn_on_full_buffer=False)
         self.wakeups = receiver, sender
         self.selector.register(receiver, EVENT_READ, self.clear_wakeups)
-        signal.signal(signal.SIGTERM, self.on_stop)
-        signal.signal(signal.SIGINT, self.on_stop)
-        signal.signal(signal.SIGHUP, self.on_settings)
-        signal.signal(signal.SIGUSR1, self.on_dump)
+        set_signal_handler(SIGTERM, self.on_stop)
+        set_signal_handler(SIGINT, self.on_stop)
+        set_signal_handler(SIGHUP, self.on_settings)
+        set_signal_handler(SIGUSR1, self.on_dump)
 
     def clear_wakeups(self, mask: int) -> None:
         """Read what a signal wrote to wake the selector."""
--- a/citronspring/daemons/translation.py
+++ b/citronspring/daemons/translation.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
+from citronspring.lean import TYPE_CHECKING
 from citronspring.records import record
 
 if TYPE_CHECKING:
--- a/citronspring/endpoints.py
+++ b/citronspring/endpoints.py
@@ -2,15 +2,50 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from citronspring.lean import TYPE_CHECKING
 
+if TYPE_CHECKING:
+    from typing import NamedTuple
 
-class Endpoint(NamedTuple):
-    """An IP address and a port of a process or a tunnel end; sockets take it as is."""
+    class Fields(NamedTuple):
+        """What an endpoint consists of."""
 
-    #: Address in text form, IPv4 or IPv6.
-    ip: str
-    port: int
+        ip: str
+        port: int
+
+else:
+    from _collections import _tuplegetter
+
+    class Fields(tuple):
+        """The same without ``typing``, which a starting host does not import.
+
+        Validators take what has ``_fields`` for a named tuple.
+        """
+
+        __slots__ = ()
+        __match_args__ = _fields = ("ip", "port")
+        _field_defaults = {}
+        ip: str = _tuplegetter(0, "Address in text form.")
+        port: int = _tuplegetter(1, "Port.")
+
+        def __new__(cls, ip, port):
+            """Make the pair."""
+            return tuple.__new__(cls, (ip, port))
+
+        def __getnewargs__(self):
+            return tuple(self)
+
+        def __repr__(self):
+            return f"{type(self).__name__}(ip={self.ip!r}, port={self.port!r})"
+
+
+class Endpoint(Fields):
+    """An IP address and a port of a process or a tunnel end; sockets take it as is.
+
+    The address is in text form, IPv4 or IPv6.
+    """
+
+    __slots__ = ()
 
     def __str__(self) -> str:
         return f"{self.ip}:{self.port}"
--- a/citronspring/events.py
+++ b/citronspring/events.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import sys
-from enum import Enum
 
+from citronspring.lean import Choice
 from citronspring.records import record
 
 
-class Level(Enum):
+class Level(Choice):
     """How loud an event is; the names are structlog's."""
 
     DEBUG = "debug"
--- a/citronspring/platform/addresses.py
+++ b/citronspring/platform/addresses.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-import socket
-
 from citronspring.endpoints import Endpoint
+from citronspring.lean import AF_INET, inet_pton
 
 #: Largest number of a port.
 LARGEST_PORT = 65535
@@ -13,7 +12,7 @@
 def ipv4_number(text: str) -> int:
     """Return an IPv4 address as a number; raises ValueError if it is none."""
     try:
-        return int.from_bytes(socket.inet_pton(socket.AF_INET, text), "big")
+        return int.from_bytes(inet_pton(AF_INET, text), "big")
     except OSError as error:
         raise ValueError(f"{text!r} is no IPv4 address") from error
 
--- a/citronspring/platform/leases.py
+++ b/citronspring/platform/leases.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import json
 from binascii import b2a_base64
-from typing import TYPE_CHECKING, Any
 
 from citronspring.http_request import HttpRequest
+from citronspring.json_text import dumps, loads
+from citronspring.lean import TYPE_CHECKING
 from citronspring.platform.records import READER_PREFIX, UNUSABLE, encode_reader
 from citronspring.tokens.messages import (
     ClaimZone,
@@ -22,6 +22,8 @@
 )
 
 if TYPE_CHECKING:
+    from typing import Any
+
     from citronspring.tokens.messages import ElectionAnswer, ElectionCall
 
 #: Answers of the store.
@@ -64,7 +66,7 @@
 
 def encode(body: dict[str, Any]) -> bytes:
     """Return a body as it is sent."""
-    return json.dumps(body).encode()
+    return dumps(body).encode()
 
 
 def decode_election_answer(
@@ -80,7 +82,7 @@
     if not isinstance(call, GrantLease):
         return Done()
     try:
-        found = json.loads(body)
+        found = loads(body)
         return LeaseGranted(int(found["lease"]), found["ttl_ms"] / MILLISECONDS)
     except UNUSABLE as error:
         return Unanswered(f"an answer that cannot be read: {error!r}")
--- a/citronspring/platform/packets.py
+++ b/citronspring/platform/packets.py
@@ -2,16 +2,14 @@
 
 from __future__ import annotations
 
-import socket
-import struct
-
 from citronspring.errors import MalformedPacketError
 from citronspring.flags import ACK, FIN, RST, SYN
+from citronspring.lean import Struct, inet_ntoa
 from citronspring.tokens.entities import PORT_BITS, Packet
 
 #: seq, ack, flags, echo, dport, sport, src, dst, sum, len. The fourth, ``echo``, is
 #: what either end returns to the other and is used as the flow's token.
-HEADER = struct.Struct(">IIBIHHIIIH")
+HEADER = Struct(">IIBIHHIIIH")
 
 #: Where the token stands, and the two ports and addresses that make a flow's key.
 TOKEN_OFFSET = 9
@@ -30,8 +28,12 @@
 )
 
 #: What precedes a packet to a target: which incarnation it is meant for.
-INCARNATION = struct.Struct(">Q")
-TOKEN = struct.Struct(">I")
+INCARNATION = Struct(">Q")
+TOKEN = Struct(">I")
+
+#: The two ports of a flow's key, and the ports with both addresses.
+PORTS = Struct(">HH")
+FLOW = Struct(">HHII")
 
 
 def decode_packet(data: bytes) -> Packet:
@@ -80,17 +82,17 @@
     Its number must lie near what the caller acknowledged last; the checksum is 0,
     which marks it as the system's own.
     """
-    dport, sport, src, dst = struct.unpack(">HHII", packet.data[FLOW_KEY])
+    dport, sport, src, dst = FLOW.unpack(packet.data[FLOW_KEY])
     return HEADER.pack(packet.ack, 0, WIRE_RST, 0, sport, dport, dst, src, 0, 0)
 
 
 def show_flow(flow: bytes) -> str:
     """Return the key of a flow as ``caller:port>service:port``."""
-    dport, sport = struct.unpack_from(">HH", flow)
-    caller, service = socket.inet_ntoa(flow[4:8]), socket.inet_ntoa(flow[8:12])
+    dport, sport = PORTS.unpack_from(flow)
+    caller, service = inet_ntoa(flow[4:8]), inet_ntoa(flow[8:12])
     return f"{caller}:{sport}>{service}:{dport}"
 
 
 def caller_ip(packet: Packet) -> str:
     """Return the caller's address as text."""
-    return socket.inet_ntoa(packet.flow[4:8])
+    return inet_ntoa(packet.flow[4:8])
--- a/citronspring/platform/records.py
+++ b/citronspring/platform/records.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-import json
-import math
-from typing import TYPE_CHECKING, Any
-
 from citronspring.errors import StoredValueError
+from citronspring.json_text import dumps, loads
+from citronspring.lean import INFINITY, TYPE_CHECKING
 from citronspring.platform.addresses import endpoint_of, ipv4_number, port_number
 from citronspring.tokens.entities import (
     Configuration,
@@ -18,6 +16,8 @@
 )
 
 if TYPE_CHECKING:
+    from typing import Any
+
     from citronspring.endpoints import Endpoint
 
 #: Key of the configuration in force.
@@ -93,7 +93,7 @@
 def parse(value: bytes) -> dict[str, Any]:
     """Return the object in a value."""
     try:
-        found = json.loads(value)
+        found = loads(value)
     except (ValueError, RecursionError) as error:
         raise StoredValueError(f"the value is no JSON: {error}") from error
     if not isinstance(found, dict):
@@ -137,7 +137,7 @@
 
 def objective_of(milliseconds: float | None) -> float:
     """Return a latency objective in seconds; infinite where a route has none."""
-    return float(milliseconds) * MILLISECOND if milliseconds else math.inf
+    return float(milliseconds) * MILLISECOND if milliseconds else INFINITY
 
 
 def decode_target(target_id: str, body: dict[str, Any], revision: int) -> Target:
@@ -197,7 +197,7 @@
 
 def encode_reader(host_id: str, endpoint: Endpoint) -> bytes:
     """Return what a host registers as the reader of its zone."""
-    return json.dumps({"host": host_id, "at": str(endpoint)}).encode()
+    return dumps({"host": host_id, "at": str(endpoint)}).encode()
 
 
 def incarnation_of(target_id: str) -> int:
--- a/citronspring/platform/settings.py
+++ b/citronspring/platform/settings.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
-import json
 import os
-from typing import Any
 
 from citronspring.endpoints import Endpoint
 from citronspring.errors import SettingsError
 from citronspring.host_settings import HostSettings
+from citronspring.json_text import loads
+from citronspring.lean import TYPE_CHECKING
 from citronspring.platform.addresses import endpoint_of
 
+if TYPE_CHECKING:
+    from typing import Any
+
 #: Variable that holds the path of the settings file.
 PATH_VARIABLE = "CITRONSPRING_BOOT"
 
@@ -63,8 +66,8 @@
         Names the field, its value and what is expected.
     """
     try:
-        table = json.loads(text)
-    except json.JSONDecodeError as error:
+        table = loads(text)
+    except ValueError as error:
         raise SettingsError(
             f"the settings are no JSON: {error}", "mend the line that is named"
         ) from error
--- a/citronspring/platform/store.py
+++ b/citronspring/platform/store.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import json
 from binascii import a2b_base64
-from typing import TYPE_CHECKING, Any
 
 from citronspring.errors import StoredValueError
 from citronspring.http_request import HttpRequest
+from citronspring.json_text import loads
+from citronspring.lean import TYPE_CHECKING
 from citronspring.platform.records import (
     READER_PREFIX,
     TARGET_PREFIX,
@@ -31,6 +31,8 @@
 )
 
 if TYPE_CHECKING:
+    from typing import Any
+
     from citronspring.tokens.messages import Change, Entry
 
 #: Keys that a host follows: all of them, as one watch costs less than two.
@@ -73,7 +75,7 @@
     if status != OK:
         return Refused(status)
     try:
-        found = json.loads(body)
+        found = loads(body)
         match call:
             case ListEntries():
                 return decode_page(found)
--- a/citronspring/records.py
+++ b/citronspring/records.py
@@ -2,19 +2,21 @@
 
 A host that was killed serves again only after its imports, and the standard library's
 data classes were a third of them: their module imports a parser of Python, and each
-class compiles six methods. Here a class compiles one. Type checkers see the standard
-decorator.
+class compiles six methods. Here a class compiles one, when the first instance is made:
+most kinds of messages are not needed for the first packet. Type checkers see the
+standard decorator.
 """
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from citronspring.lean import TYPE_CHECKING
 
 __all__ = ["field", "record"]
 
 if TYPE_CHECKING:
     from dataclasses import dataclass as record
     from dataclasses import field
+    from typing import Any
 else:
 
     class Factory:
@@ -47,12 +49,18 @@
         defaults = {name: namespace.pop(name) for name in names if name in namespace}
         namespace["__slots__"] = names
         namespace["__match_args__"] = names
-        namespace["__init__"] = make_init(names, defaults)
         namespace["__repr__"] = show
         if eq:
             namespace["__eq__"] = equal
             namespace["__hash__"] = None
-        return type(cls)(cls.__name__, cls.__bases__, namespace)
+        made = type(cls)(cls.__name__, cls.__bases__, namespace)
+
+        def init_first(self, *values, **named):
+            made.__init__ = make_init(names, defaults)
+            made.__init__(self, *values, **named)
+
+        made.__init__ = init_first
+        return made
 
 
 def make_init(names: tuple[str, ...], defaults: dict[str, Any]) -> Any:
--- a/citronspring/tokens/balancer.py
+++ b/citronspring/tokens/balancer.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 from citronspring.events import LEAVING
+from citronspring.lean import TYPE_CHECKING
 from citronspring.tokens.copies import encode_copy
 from citronspring.tokens.election import (
     next_election_call,
--- a/citronspring/tokens/copies.py
+++ b/citronspring/tokens/copies.py
@@ -2,20 +2,19 @@
 
 from __future__ import annotations
 
-import json
-import math
-import zlib
-from typing import TYPE_CHECKING, Any
-
 from citronspring.endpoints import Endpoint
+from citronspring.json_text import dumps, loads
+from citronspring.lean import INFINITY, TYPE_CHECKING
 from citronspring.tokens.entities import Configuration, Route, Share, Target
 from citronspring.tokens.messages import PeerCopy, Refused, Unanswered
 
 if TYPE_CHECKING:
+    from typing import Any
+
     from citronspring.tokens.tables import Tables
 
 #: What decoding raises when a copy has another shape, as one of another release may.
-UNUSABLE = (AttributeError, IndexError, KeyError, TypeError, ValueError, zlib.error)
+UNUSABLE = (AttributeError, IndexError, KeyError, TypeError, ValueError)
 
 #: Bytes from which a body is compressed. A difference of 1,400 routes shrinks from
 #: 185 to 26 KB in 0.6 ms, and a reader's share of its link does for a whole zone; a
@@ -37,18 +36,28 @@
 def pack(text: str) -> bytes:
     """Return JSON text as it is sent between hosts, compressed where that pays."""
     body = text.encode()
-    return body if len(body) < SMALLEST_PACKED else zlib.compress(body, PACK_LEVEL)
+    if len(body) < SMALLEST_PACKED:
+        return body
+    # Imported for the first large body; a start needs none.
+    from zlib import compress
+
+    return compress(body, PACK_LEVEL)
 
 
 def unpack(body: bytes) -> Any:
     """Return the plain values in a body; raises one of `UNUSABLE`."""
     if body.startswith(b"{"):
-        return json.loads(body)
-    unpacker = zlib.decompressobj()
-    text = unpacker.decompress(body, LARGEST_UNPACKED)
+        return loads(body)
+    from zlib import decompressobj, error
+
+    unpacker = decompressobj()
+    try:
+        text = unpacker.decompress(body, LARGEST_UNPACKED)
+    except error as cause:
+        raise ValueError(f"the body is damaged: {cause}") from cause
     if not unpacker.eof:
         raise ValueError("the body is cut off, or too large")
-    return json.loads(text)
+    return loads(text)
 
 
 def encode_copy(tables: Tables, now: float) -> tuple[int, bytes]:
@@ -64,7 +73,7 @@
             plain_target(row.target, max(row.warm_at - now, 0.0)) for row in rows
         ],
     }
-    return OK, pack(json.dumps(body))
+    return OK, pack(dumps(body))
 
 
 def plain_configuration(tables: Tables) -> dict[str, Any]:
@@ -83,7 +92,7 @@
         "key": route.key,
         "shares": [[share.service, share.weight] for share in route.shares],
         "idempotent": route.idempotent,
-        "objective": None if route.objective == math.inf else route.objective,
+        "objective": None if route.objective == INFINITY else route.objective,
         "priority": route.priority,
     }
 
@@ -133,7 +142,7 @@
 def objective_of(body: dict[str, Any]) -> float:
     """Return the objective in a route's plain values; infinite if there is none."""
     objective = body.get("objective")
-    return math.inf if objective is None else float(objective)
+    return INFINITY if objective is None else float(objective)
 
 
 def decode_target(body: dict[str, Any]) -> Target:
--- a/citronspring/tokens/election.py
+++ b/citronspring/tokens/election.py
@@ -6,11 +6,10 @@
 
 from __future__ import annotations
 
-import math
-from typing import TYPE_CHECKING
-from zlib import crc32
+from binascii import crc32
 
 from citronspring.events import LEASE_LOST, LEASE_TAKEN
+from citronspring.lean import INFINITY, TYPE_CHECKING
 from citronspring.tokens.messages import (
     ClaimZone,
     ConditionFailed,
@@ -92,8 +91,8 @@
     """Decide when this host claims its zone, once nobody is known to read for it."""
     election = tables.election
     if tables.zone in tables.zone_readers or not can_read(tables):
-        election.claim_at = math.inf
-    elif election.claim_at == math.inf:
+        election.claim_at = INFINITY
+    elif election.claim_at == INFINITY:
         election.claim_at = now + delay
 
 
@@ -161,12 +160,12 @@
     """
     election = tables.election
     if tables.leave_deadline is not None:
-        return -math.inf if election.lease else math.inf
+        return -INFINITY if election.lease else INFINITY
     if tables.zone not in tables.zone_readers:
-        return election.claim_at if can_read(tables) else math.inf
+        return election.claim_at if can_read(tables) else INFINITY
     # A reader that cannot read must not keep others from it.
     if not election.lease or tables.reader.failures or not holds_zone(tables):
-        return math.inf
+        return INFINITY
     return election.renew_at
 
 
--- a/citronspring/tokens/entities.py
+++ b/citronspring/tokens/entities.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import math
-from typing import TYPE_CHECKING
-
+from citronspring.lean import INFINITY, TYPE_CHECKING
 from citronspring.records import record
 
 if TYPE_CHECKING:
@@ -60,7 +58,7 @@
     #: after a reset.
     idempotent: bool
     #: Seconds within which a request should be answered; infinite for none.
-    objective: float = math.inf
+    objective: float = INFINITY
     #: How urgent its requests are, 0 most of all.
     priority: int = 0
 
--- a/citronspring/tokens/evidence.py
+++ b/citronspring/tokens/evidence.py
@@ -8,9 +8,7 @@
 
 from __future__ import annotations
 
-import math
-from typing import TYPE_CHECKING
-
+from citronspring.lean import INFINITY, TYPE_CHECKING
 from citronspring.tokens.own_path import (
     note_answered,
     note_repeated,
@@ -81,7 +79,7 @@
     """Take that a target has answered what was sent to it at a time."""
     note_answered(tables.own_path, row, sent_at, now)
     row.answered_at = now
-    row.silent_since = math.inf
+    row.silent_since = INFINITY
     row.silences = 0
     row.repeats = 0
     row.avoid_until = 0.0
--- a/citronspring/tokens/flows.py
+++ b/citronspring/tokens/flows.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
+from citronspring.lean import TYPE_CHECKING
 from citronspring.tokens.tables import MAX_FLOWS, FlowRow
 
 if TYPE_CHECKING:
--- a/citronspring/tokens/following.py
+++ b/citronspring/tokens/following.py
@@ -7,9 +7,8 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 from citronspring.events import FOLLOWING, READER_LOST
+from citronspring.lean import TYPE_CHECKING
 from citronspring.tokens.messages import (
     AnswerTooLarge,
     ConfigurationChange,
--- a/citronspring/tokens/forwarding.py
+++ b/citronspring/tokens/forwarding.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-import math
-from typing import TYPE_CHECKING
-
 from citronspring.events import FLOW_RESET
 from citronspring.flags import FIN, RST, SYN
+from citronspring.lean import INFINITY, TYPE_CHECKING
 from citronspring.tokens.admission import note_time_to_answer
 from citronspring.tokens.evidence import (
     certainly_gone,
@@ -155,7 +153,7 @@
     else:
         tables.histograms["opening_answered"].record(now - flow.asked_at)
         # Which of several tries it answered, and so when that was sent, is not known.
-        sent_at = flow.asked_at if len(flow.tried) == 1 else -math.inf
+        sent_at = flow.asked_at if len(flow.tried) == 1 else -INFINITY
         if flow.target is not row:
             move_opening(flow, row)
         note_answer(tables, row, sent_at, now)
--- a/citronspring/tokens/messages.py
+++ b/citronspring/tokens/messages.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-from enum import Enum
-from typing import TYPE_CHECKING
-
+from citronspring.lean import TYPE_CHECKING, Choice
 from citronspring.records import record
 
 if TYPE_CHECKING:
@@ -19,7 +17,7 @@
     from citronspring.tokens.tables import TargetRow
 
 
-class DropReason(Enum):
+class DropReason(Choice):
     """Why a packet goes nowhere; each is counted."""
 
     NO_ROUTE = "no-route"
@@ -30,7 +28,7 @@
     WAITED = "waited"
 
 
-class ResetReason(Enum):
+class ResetReason(Choice):
     """Why a caller gets a reset; each is counted."""
 
     NO_ROUTE = "no-route"
--- a/citronspring/tokens/news.py
+++ b/citronspring/tokens/news.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-import json
-from typing import TYPE_CHECKING, Any
-
 from citronspring.endpoints import Endpoint
+from citronspring.json_text import dumps
+from citronspring.lean import TYPE_CHECKING
 from citronspring.records import record
 from citronspring.tokens.copies import (
     OK,
@@ -32,6 +31,8 @@
 from citronspring.tokens.tables import LoggedChange
 
 if TYPE_CHECKING:
+    from typing import Any
+
     from citronspring.tokens.messages import News
     from citronspring.tokens.reader import ReaderTimes
     from citronspring.tokens.tables import NewsLog, Tables
@@ -104,9 +105,7 @@
     confirmed = reader.current_at > poll.asked_at
     if not changes and not confirmed and now < poll.deadline:
         return None
-    head = json.dumps(
-        {"revision": reader.revision, "age": age, "held": now - poll.asked_at}
-    )
+    head = dumps({"revision": reader.revision, "age": age, "held": now - poll.asked_at})
     listed = ", ".join(text_of(logged) for logged in changes)
     body = pack(f'{head[:-1]}, "changes": [{listed}]}}')
     if not take_allowance(tables.news, len(body) + HEAD_BYTES, now):
@@ -133,7 +132,7 @@
 def text_of(logged: LoggedChange) -> str:
     """Return a change as it is handed on, written once for all followers."""
     if not logged.text:
-        logged.text = json.dumps(plain_change(logged.change))
+        logged.text = dumps(plain_change(logged.change))
     return logged.text
 
 
--- a/citronspring/tokens/own_path.py
+++ b/citronspring/tokens/own_path.py
@@ -8,8 +8,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
+from citronspring.lean import TYPE_CHECKING
 from citronspring.records import record
 
 if TYPE_CHECKING:
--- a/citronspring/tokens/reader.py
+++ b/citronspring/tokens/reader.py
@@ -2,15 +2,13 @@
 
 from __future__ import annotations
 
-import math
-from typing import TYPE_CHECKING
-
 from citronspring.events import (
     COPY_TAKEN,
     STORE_HISTORY_LOST,
     STORE_LOST,
     STORE_REGAINED,
 )
+from citronspring.lean import INFINITY, TYPE_CHECKING
 from citronspring.records import record
 from citronspring.tokens.election import holds_zone
 from citronspring.tokens.following import (
@@ -123,7 +121,7 @@
 
     @classmethod
     def from_bounds(
-        cls, change: float, settling: float, link_rate: float = math.inf
+        cls, change: float, settling: float, link_rate: float = INFINITY
     ) -> ReaderTimes:
         """Derive the limits.
 
@@ -196,7 +194,7 @@
 
 def largest_answer(times: ReaderTimes, call: StoreCall) -> float:
     """Return the bytes beyond which an answer to a call is not taken."""
-    return times.largest_watch if isinstance(call, WatchEntries) else math.inf
+    return times.largest_watch if isinstance(call, WatchEntries) else INFINITY
 
 
 def is_current(tables: Tables, times: ReaderTimes, now: float) -> bool:
--- a/citronspring/tokens/report.py
+++ b/citronspring/tokens/report.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING
 
+from citronspring.lean import INFINITY
 from citronspring.tokens.admission import known_delay
 
 if TYPE_CHECKING:
@@ -52,7 +52,7 @@
 
 def seconds(value: float) -> float | None:
     """Return a rounded duration, None for one that is not positive or unknown."""
-    return round(value, 3) if 0 < value < math.inf else None
+    return round(value, 3) if 0 < value < INFINITY else None
 
 
 def metrics_text(tables: Tables, now: float) -> str:
--- a/citronspring/tokens/revisions.py
+++ b/citronspring/tokens/revisions.py
@@ -2,9 +2,6 @@
 
 from __future__ import annotations
 
-import math
-from typing import TYPE_CHECKING
-
 from citronspring.events import (
     ENTRY_UNREADABLE,
     READER_CHANGED,
@@ -13,6 +10,7 @@
     TARGET_RESTARTED,
     TOKEN_TAKEN,
 )
+from citronspring.lean import INFINITY, TYPE_CHECKING
 from citronspring.tokens.entities import (
     Configuration,
     Target,
@@ -121,9 +119,9 @@
     elif of_later_start(row, target.started):
         row = replace_start(tables, row, target, actions)
     was_leaving = row.target.leaving
-    returned = row.gone_at != math.inf
+    returned = row.gone_at != INFINITY
     row.target = target
-    row.gone_at = math.inf
+    row.gone_at = INFINITY
     row.warm_at = now + target.warmup
     index_service(tables, row)
     if was_leaving != target.leaving or returned or row.flows == 0:
@@ -133,7 +131,7 @@
 
 def is_old(row: TargetRow, target: Target) -> bool:
     """Whether an entry tells nothing new of a target."""
-    if row.gone_at != math.inf:
+    if row.gone_at != INFINITY:
         return target.revision < row.target.revision
     return target.revision <= row.target.revision
 
@@ -257,7 +255,7 @@
     Returns whether that was news.
     """
     row = tables.targets.get(removed.target_id)
-    if row is None or row.gone_at != math.inf:
+    if row is None or row.gone_at != INFINITY:
         return False
     if removed.revision < row.target.revision:
         return False
--- a/citronspring/tokens/routes.py
+++ b/citronspring/tokens/routes.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 from citronspring.events import CONFIGURATION_APPLIED
+from citronspring.lean import TYPE_CHECKING
 from citronspring.tokens.messages import ConfigurationChange, Log
 
 if TYPE_CHECKING:
--- a/citronspring/tokens/tables.py
+++ b/citronspring/tokens/tables.py
@@ -2,11 +2,8 @@
 
 from __future__ import annotations
 
-import math
-from collections import Counter, deque
-from typing import TYPE_CHECKING
-
 from citronspring.histogram import Histogram
+from citronspring.lean import INFINITY, TYPE_CHECKING, Counter, deque
 from citronspring.records import field, record
 
 if TYPE_CHECKING:
@@ -40,20 +37,20 @@
     #: Time until which it works slower after its start.
     warm_at: float = 0.0
     #: Time at which its entry left the store; infinite while it is there.
-    gone_at: float = math.inf
+    gone_at: float = INFINITY
     #: When a caller last showed that the target had answered.
-    answered_at: float = -math.inf
+    answered_at: float = -INFINITY
     #: When the first of those that it left unanswered since went out.
-    silent_since: float = math.inf
+    silent_since: float = INFINITY
     #: Openings and requests it left unanswered since it last answered.
     silences: int = 0
     #: Flows that sent a request again in vain since; and when one last did.
     repeats: int = 0
-    repeated_at: float = -math.inf
+    repeated_at: float = -INFINITY
     #: When the first of these flows did, and when the request of the last one had been
     #: sent first.
-    first_repeated_at: float = -math.inf
-    repeated_sent_at: float = -math.inf
+    first_repeated_at: float = -INFINITY
+    repeated_sent_at: float = -INFINITY
     #: Time until which new flows rather go elsewhere.
     avoid_until: float = 0.0
 
@@ -62,11 +59,11 @@
 class ZoneRow:
     """What is believed of the way to one availability zone."""
 
-    answered_at: float = -math.inf
+    answered_at: float = -INFINITY
     #: When the newest of what its targets have answered was sent.
-    answered_sent_at: float = -math.inf
+    answered_sent_at: float = -INFINITY
     #: When a request to one of its targets was first sent again since it answered.
-    first_repeated_at: float = -math.inf
+    first_repeated_at: float = -INFINITY
     #: Time until which no target of the zone is believed to be in reach.
     suspect_until: float = 0.0
     #: Targets of it that are silent, with no answer from the zone since.
@@ -81,7 +78,7 @@
     median_delay: float = 0.0
     #: Answers since there was none for a while.
     answers: int = 0
-    answered_at: float = -math.inf
+    answered_at: float = -INFINITY
 
 
 @record
@@ -121,7 +118,7 @@
     answers: deque[Answered] = field(default_factory=deque)
     repeats: deque[Repeated] = field(default_factory=deque)
     #: When the host last stood still, or could not send.
-    disturbed_at: float = -math.inf
+    disturbed_at: float = -INFINITY
 
 
 @record
@@ -133,7 +130,7 @@
     #: False until a complete list is in force, and after history was lost.
     listed: bool = False
     #: Time before which nothing changed that is not in force here.
-    current_at: float = -math.inf
+    current_at: float = -INFINITY
     #: When the next call may go out.
     call_at: float = 0.0
     #: Failures since the last answer.
@@ -166,11 +163,11 @@
 
     #: The lease it holds, 0 for none, and when that ends unless it is renewed.
     lease: int = 0
-    lease_deadline: float = -math.inf
+    lease_deadline: float = -INFINITY
     #: When it registers itself, as long as no reader is known until then.
-    claim_at: float = math.inf
+    claim_at: float = INFINITY
     #: When the lease is renewed next.
-    renew_at: float = math.inf
+    renew_at: float = INFINITY
 
 
 @record
@@ -196,7 +193,7 @@
     #: until the settings are known, as on a link of 1 Gbit/s.
     rate: float = 6_250_000.0
     allowance: float = 0.0
-    allowed_at: float = -math.inf
+    allowed_at: float = -INFINITY
 
 
 def make_histograms() -> dict[str, Histogram]:
@@ -240,7 +237,7 @@
     news: NewsLog = field(default_factory=NewsLog)
     #: When the process last took a turn, and whether what waits in its socket may
     #: have waited for long.
-    turn_at: float = math.inf
+    turn_at: float = INFINITY
     stale: bool = False
     #: When rows are looked through for what has expired.
     sweep_at: float = 0.0
--- /dev/null
+++ b/tests/test_http_messages.py
@@ -0,0 +1,151 @@
+"""Messages are cut out of a connection's bytes as an established parser does it."""
+
+from __future__ import annotations
+
+import httptools
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from citronspring.http_messages import LARGEST_HEAD, MessageError, MessageReader
+
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"
+CHUNKED = (
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"3\r\nabc\r\nA;x=1\r\n0123456789\r\n0\r\n\r\n"
+)
+EMPTY = b"HTTP/1.1 204 No Content\r\n\r\n"
+EARLY = b"HTTP/1.1 100 Continue\r\n\r\n" + ANSWER
+REFUSED = b"HTTP/1.1 429 Too Many\r\ncontent-length:0\r\nConnection: close\r\n\r\n"
+OLD = b"HTTP/1.0 200 OK\r\nContent-Length: 0\r\n\r\n"
+ANSWERS = [ANSWER, CHUNKED, EMPTY, REFUSED, OLD]
+
+REQUESTS = [
+    b"GET /ready HTTP/1.1\r\nHost: a\r\n\r\n",
+    b"GET /news?after=1&wait=2 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
+    b"POST /x HTTP/1.1\r\nContent-Length: 2\r\n\r\nhi",
+]
+
+NO_ANSWERS = [
+    b"nonsense\r\n\r\n",
+    b"HTTP/1.1 abc OK\r\nContent-Length: 0\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nno header\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nxy\r\n",
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nabc\r\n",
+    b"x" * LARGEST_HEAD,
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + b"1" * 300,
+]
+
+
+class Expected:
+    """What the other parser reads."""
+
+    def __init__(self, parser, method):
+        self.parser = parser(self)
+        self.method = method
+        self.body = b""
+        self.url = b""
+        self.messages = []
+
+    def on_url(self, url):
+        self.url += url
+
+    def on_body(self, data):
+        self.body += data
+
+    def on_message_complete(self):
+        start = self.method(self)
+        self.messages.append((start, self.body, self.parser.should_keep_alive()))
+        self.body = self.url = b""
+
+
+def pieces_of(data, cuts):
+    """Return the bytes, cut at some places."""
+    places = sorted({cut % (len(data) + 1) for cut in cuts})
+    bounds = [0, *places, len(data)]
+    return [data[start:end] for start, end in zip(bounds, bounds[1:], strict=False)]
+
+
+def read(data, cuts, answers):
+    """Return the messages in bytes that come in pieces."""
+    reader = MessageReader(answers)
+    found = []
+    for piece in pieces_of(data, cuts):
+        reader.feed(piece)
+        while (message := reader.next_message()) is not None:
+            found.append(message)
+    return found
+
+
+CUTS = st.lists(st.integers(min_value=0), max_size=12)
+
+
+@given(st.sampled_from(ANSWERS), CUTS)
+def test_answers_are_read_as_by_the_other_parser(data, cuts):
+    expected = Expected(
+        httptools.HttpResponseParser, lambda one: one.parser.get_status_code()
+    )
+    expected.parser.feed_data(data)
+    found = [(m.status, m.body, m.keeps_open) for m in read(data, cuts, True)]
+    assert found == expected.messages
+
+
+@given(st.lists(st.sampled_from(REQUESTS[::2]), max_size=5), CUTS)
+def test_requests_in_a_row_are_read_as_by_the_other_parser(requests, cuts):
+    data = b"".join(requests)
+    expected = Expected(httptools.HttpRequestParser, lambda one: one.url.decode())
+    if data:
+        expected.parser.feed_data(data)
+    found = [(m.target, m.body, m.keeps_open) for m in read(data, cuts, False)]
+    assert found == expected.messages
+
+
+def test_last_request_of_a_connection_says_so():
+    assert not read(REQUESTS[1], [], False)[0].keeps_open
+
+
+def test_answer_that_comes_before_the_one_that_counts_is_passed_over():
+    assert [m.status for m in read(EARLY, [3, 30], True)] == [200]
+
+
+@pytest.mark.parametrize("data", NO_ANSWERS)
+def test_what_is_no_answer_is_an_error(data):
+    with pytest.raises(MessageError):
+        read(data, [], True)
+
+
+@given(st.binary(max_size=300), CUTS, st.booleans())
+def test_any_bytes_are_messages_or_an_error(data, cuts, answers):
+    try:
+        read(data, cuts, answers)
+    except MessageError:
+        return
+
+
+@pytest.mark.parametrize(
+    "head", [b"Content-Length: 900000", b"Transfer-Encoding: chunked"]
+)
+def test_large_request_does_not_fill_the_memory(head):
+    """A host's memory fills with a request that its sender never ends.
+
+    Whoever reaches the readiness address announces a body of any size and sends on;
+    the bytes would be kept until the last one has come.
+    """
+    reader = MessageReader(answers=False)
+    reader.feed(b"POST / HTTP/1.1\r\n" + head + b"\r\n\r\n90000\r\n")
+    with pytest.raises(MessageError):
+        for _ in range(100):
+            reader.next_message()
+            reader.feed(b"x" * 1000)
+
+
+def test_size_of_a_body_is_known_before_it_is_there():
+    reader = MessageReader(answers=True)
+    reader.feed(b"HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\nab")
+    assert reader.next_message() is None
+    assert reader.size == 900
