Rank targets that are alike in an order of each host's own

Cause: hosts that start together know of no load, and took targets that were alike in the order of the list, the same for all of a zone.

--- a/citronspring/tokens/placement.py
+++ b/citronspring/tokens/placement.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from binascii import crc32
+
 from citronspring.lean import TYPE_CHECKING
 from citronspring.tokens.evidence import avoided
 
@@ -60,11 +62,20 @@
     return min(sound, key=lambda row: load_of(tables, row, now))
 
 
-def load_of(tables: Tables, row: TargetRow, now: float) -> tuple[float, float]:
+def rank_of(host_id: str, target_id: str) -> int:
+    """Return a target's place among those that are alike to a host.
+
+    Hosts that start together know of no load. In one order for all, their first flows
+    would go to the same few targets; drawn by host, they spread over all of them.
+    """
+    return crc32(f"{host_id} {target_id}".encode())
+
+
+def load_of(tables: Tables, row: TargetRow, now: float) -> tuple[float, float, int]:
     """Return how busy a target is for its size; of equals, the longest unused first."""
     load = (row.busy + IDLE_FLOW_LOAD * (row.flows - row.busy)) / row.target.slots
     if row.warm_at > now:
         load += COLD_LOAD
     if row.target.zone != tables.zone:
         load += OTHER_ZONE_LOAD
-    return load, row.placed_at
+    return load, row.placed_at, row.rank
--- a/citronspring/tokens/revisions.py
+++ b/citronspring/tokens/revisions.py
@@ -25,6 +25,7 @@
     Removed,
     Unreadable,
 )
+from citronspring.tokens.placement import rank_of
 from citronspring.tokens.routes import (
     apply_configuration,
     apply_configuration_change,
@@ -197,6 +198,7 @@
 def add_target(tables: Tables, target: Target, actions: list[Action]) -> TargetRow:
     """Make the row of a target that was not known."""
     row = TargetRow(target, token_of(target.incarnation))
+    row.rank = rank_of(tables.host_id, target.target_id)
     tables.targets[target.target_id] = row
     holder = tables.by_token.setdefault(row.token, row)
     if holder is not row:
--- a/citronspring/tokens/tables.py
+++ b/citronspring/tokens/tables.py
@@ -32,6 +32,8 @@
     flows: int = 0
     #: When it was last given a flow.
     placed_at: float = 0.0
+    #: Its place among targets that are alike, in an order of this host's own.
+    rank: int = 0
     #: Of these, flows with a request that is not answered yet.
     busy: int = 0
     #: Time until which it works slower after its start.
