Have the hosts of a zone find out together which targets are lost

Cause: on the large fleet a host sees a request to a given target once in half a minute, so that the two witnesses of a loss almost never meet at one host.

Ways weighed: the answers to followers' polls (a poll under way cannot carry a report), a few random peers (no host knows its peers, only the reader does), and datagrams to and from the zone's reader, which knows all that poll it. Taken: the last. Four reports from two hosts, a question to all, replies of two thirds and no answer known anywhere; each host then acts by its own control. Nothing is sent while nothing is suspected.

benchmarks/tokens.py made its settings by position and had been broken by two newer fields; it names them now.

--- a/benchmarks/tokens.py
+++ b/benchmarks/tokens.py
@@ -185,16 +185,19 @@
     """Return microseconds a packet: through a host's process loop, and bare."""
     with bind() as sink, bind() as bare:
         settings = HostSettings(
-            "host",
-            "north",
-            free_endpoint(socket.SOCK_DGRAM),
-            free_endpoint(socket.SOCK_STREAM),
-            free_endpoint(socket.SOCK_STREAM),
-            (),
-            Endpoint(LOOPBACK, 9),
-            3.0,
-            4.0,
-            6.0,
+            host_id="host",
+            zone="north",
+            packets=free_endpoint(socket.SOCK_DGRAM),
+            readiness=free_endpoint(socket.SOCK_STREAM),
+            copies=free_endpoint(socket.SOCK_STREAM),
+            messages=free_endpoint(socket.SOCK_DGRAM),
+            peers=(),
+            store=Endpoint(LOOPBACK, 9),
+            link_rate=1.25e8,
+            processor_share=1.0,
+            change_bound=3.0,
+            settling_time=4.0,
+            stop_grace=6.0,
         )
         host = TokenHost(settings, TRANSLATION)
         host.core = make_core(TARGETS, sink.getsockname()[1])
--- a/citronspring/daemons/followers.py
+++ b/citronspring/daemons/followers.py
@@ -69,7 +69,7 @@
             if self.server.sending:
                 return 503, b"another host is being answered\n"
             return self.core.copy(now)
-        poll = read_poll(path, now)
+        poll = read_poll(path, connection.host, now)
         if poll is None:
             return 404, f"ask for {COPY_PATH} or {NEWS_PATH}\n".encode()
         answer = self.answer_poll(poll, now)
@@ -104,13 +104,13 @@
                 connection.reply(*answer)
 
 
-def read_poll(path: str, now: float) -> Poll | None:
+def read_poll(path: str, host: str, now: float) -> Poll | None:
     """Return what a follower asks for news by, None if the path is no such question."""
     after, _, wait = path.removeprefix(NEWS_PREFIX).partition(WAIT_PREFIX)
     numbers = is_number(after, REVISION_DIGITS) and is_number(wait, WAIT_DIGITS)
     if not (path.startswith(NEWS_PREFIX) and numbers):
         return None
-    return Poll(int(after), now, now + int(wait) / MILLISECONDS)
+    return Poll(int(after), now, now + int(wait) / MILLISECONDS, host)
 
 
 def is_number(text: str, digits: int) -> bool:
--- a/citronspring/daemons/http_client.py
+++ b/citronspring/daemons/http_client.py
@@ -6,15 +6,14 @@
 
 from citronspring.daemons.poller import EVENT_READ, EVENT_WRITE
 from citronspring.http_messages import MessageError, MessageReader
-from citronspring.lean import (
+from citronspring.lean import INFINITY, TYPE_CHECKING
+from citronspring.lean_sockets import (
     AF_INET,
-    INFINITY,
     IPPROTO_TCP,
     SO_ERROR,
     SOCK_STREAM,
     SOL_SOCKET,
     TCP_NODELAY,
-    TYPE_CHECKING,
     Socket,
 )
 
--- a/citronspring/daemons/http_server.py
+++ b/citronspring/daemons/http_server.py
@@ -6,12 +6,12 @@
 from citronspring.daemons.poller import EVENT_READ, EVENT_WRITE
 from citronspring.events import ANSWER_CUT
 from citronspring.http_messages import MessageError, MessageReader
-from citronspring.lean import (
+from citronspring.lean import TYPE_CHECKING
+from citronspring.lean_sockets import (
     AF_INET,
     SO_REUSEADDR,
     SOCK_STREAM,
     SOL_SOCKET,
-    TYPE_CHECKING,
     Socket,
 )
 
@@ -79,13 +79,13 @@
     def accept(self, mask: int) -> None:
         """Take one connection that waits."""
         try:
-            sock, _ = self.listener.accept()
+            sock, address = self.listener.accept()
         except OSError:
             # The other side has gone again, or descriptors ran out: it comes anew.
             return
         if len(self.connections) >= self.most_connections:
             next(iter(self.connections)).close()
-        connection = ServerConnection(self, sock)
+        connection = ServerConnection(self, sock, address[0])
         self.connections[connection] = None
 
     def run(self, now: float) -> None:
@@ -109,9 +109,11 @@
 class ServerConnection:
     """One connection of `HttpServer`."""
 
-    def __init__(self, server: HttpServer, sock: Socket) -> None:
+    def __init__(self, server: HttpServer, sock: Socket, host: str) -> None:
         self.server = server
         self.sock = sock
+        #: Address of the other side.
+        self.host = host
         self.path = ""
         #: Bytes of answers that have not gone out yet, and how the rest moves.
         self.outgoing = b""
--- a/citronspring/daemons/poller.py
+++ b/citronspring/daemons/poller.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
-    from citronspring.lean import Socket
+    from citronspring.lean_sockets import Socket
 
 #: What a socket is waited for, as in ``selectors``.
 EVENT_READ = 1
--- a/citronspring/daemons/token_host.py
+++ b/citronspring/daemons/token_host.py
@@ -20,7 +20,8 @@
     STOPPED,
 )
 from citronspring.flags import SYN
-from citronspring.lean import (
+from citronspring.lean import TYPE_CHECKING
+from citronspring.lean_sockets import (
     AF_INET,
     SIGHUP,
     SIGINT,
@@ -29,20 +30,21 @@
     SO_RCVBUF,
     SOCK_DGRAM,
     SOL_SOCKET,
-    TYPE_CHECKING,
     Socket,
     set_signal_handler,
     set_wakeup_fd,
     socketpair,
 )
 from citronspring.tokens.balancer import TokenBalancer
-from citronspring.tokens.messages import Drop, Forward, Log, ResetCaller
+from citronspring.tokens.messages import Drop, Forward, Log, ResetCaller, Tell
 from citronspring.tokens.news import LINK_SHARE
 from citronspring.tokens.reader import ReaderTimes
+from citronspring.tokens.suspicions import decode_message, encode_message
 
 if TYPE_CHECKING:
     from citronspring.daemons.http_server import ServerConnection
     from citronspring.daemons.translation import Translation
+    from citronspring.endpoints import Endpoint
     from citronspring.host_settings import HostSettings
     from citronspring.tokens.messages import Action
 
@@ -114,7 +116,10 @@
         self.core.begin_turn(self.started_at)
         self.log = LineLog(1, settings.host_id, translation.show_flow)
         self.selector = Poller()
-        self.packets = self.bind_packets()
+        self.packets = self.bind(self.settings.packets)
+        self.packets.setsockopt(SOL_SOCKET, SO_RCVBUF, RECEIVE_BUFFER)
+        self.messages = self.bind(self.settings.messages)
+        self.selector.register(self.messages, EVENT_READ, self.read_messages)
         self.receiving = False
         #: False while packets may still wait: after a pause of the process, answers
         #: among them would count as missing if timers went first.
@@ -136,12 +141,11 @@
         """Set what followers may take of the host's link."""
         self.core.tables.news.rate = LINK_SHARE * settings.link_rate
 
-    def bind_packets(self) -> Socket:
-        """Return the socket that callers' packets come to."""
+    def bind(self, endpoint: Endpoint) -> Socket:
+        """Return a socket that datagrams to an address come to."""
         sock = Socket(AF_INET, SOCK_DGRAM)
         sock.setblocking(False)
-        sock.setsockopt(SOL_SOCKET, SO_RCVBUF, RECEIVE_BUFFER)
-        sock.bind((self.settings.packets.ip, self.settings.packets.port))
+        sock.bind((endpoint.ip, endpoint.port))
         return sock
 
     def run(self) -> None:
@@ -248,6 +252,8 @@
                     self.drop(action)
                 case Log():
                     self.log.write(action.number, action.fields, now)
+                case Tell():
+                    self.tell(action)
 
     def forward(self, action: Forward) -> None:
         """Send a packet to its target."""
@@ -281,6 +287,36 @@
         except OSError:
             self.core.note_failed_send(boot_clock())
 
+    # Other hosts of the zone -----------------------------------------------------
+
+    def read_messages(self, mask: int) -> None:
+        """Take what other hosts of the zone say."""
+        counters = self.core.tables.counters
+        for _ in range(BATCH):
+            try:
+                data, address = self.messages.recvfrom(LARGEST_DATAGRAM)
+            except BlockingIOError:
+                return
+            except OSError:
+                # An earlier message met a host that has gone; it tells of no other.
+                counters["receive-errors"] += 1
+                return
+            message = decode_message(data)
+            if message is None:
+                counters["host-messages-unreadable"] += 1
+                continue
+            now = boot_clock()
+            actions = self.core.take_host_message(message, address[0], now)
+            self.perform(actions, now)
+
+    def tell(self, action: Tell) -> None:
+        """Send a message to another host; a lost one is made up for by the next."""
+        address = (action.to, self.settings.messages.port)
+        try:
+            self.messages.sendto(encode_message(action.message), address)
+        except OSError:
+            self.core.tables.counters["host-messages-unsent"] += 1
+
     # Readiness and signals -------------------------------------------------------
 
     def answer(self, path: str, connection: ServerConnection) -> tuple[int, str]:
--- a/citronspring/emulator/hosts.py
+++ b/citronspring/emulator/hosts.py
@@ -24,6 +24,7 @@
     Log,
     ReadPeer,
     ResetCaller,
+    Tell,
     Unanswered,
 )
 from citronspring.tokens.news import LINK_SHARE, Poll, decode_news
@@ -277,7 +278,7 @@
                 pending.answer(Unanswered("the connection was refused"))
                 return
             now = self.clock.now
-            poll = Poll(call.after_revision, now, now + call.wait)
+            poll = Poll(call.after_revision, now, now + call.wait, self.host_id)
             reader.polls.append((poll, reply))
 
         self.network.carry(self.zone, reader.zone, arrive)
@@ -315,6 +316,22 @@
                     self.reset(action)
                 case Log():
                     self.checker.logged(self, action)
+                case Tell():
+                    self.tell(action)
+
+    def tell(self, action: Tell) -> None:
+        """Send a message to another host."""
+        other = self.fleet[action.to]
+
+        def arrive() -> None:
+            if other.core is None or other.frozen:
+                return
+            now = self.clock.now
+            other.perform(
+                other.core.take_host_message(action.message, self.host_id, now)
+            )
+
+        self.network.send(self.zone, other.zone, arrive)
 
     def forward(self, action: Forward) -> None:
         """Send a packet to its target's address, with its incarnation before it."""
--- a/citronspring/emulator/loads.py
+++ b/citronspring/emulator/loads.py
@@ -76,6 +76,36 @@
             target.slowness = slowness
 
 
+def die_silently(share: float) -> Load:
+    """Return a load within which a share of the larger service's targets end for good.
+
+    They say nothing, and their entries stay until the store misses their heartbeats.
+    """
+
+    def end(world: World) -> None:
+        desk = [one for one in world.targets.values() if one.service == "desk"]
+        for target in world.clock.rng.sample(desk, int(share * len(desk))):
+            target.crash()
+            world.clock.after(3.6, lambda one=target: world.store.remove_target(one))
+
+    def plan(world: World) -> None:
+        world.clock.at(LEAD + BURST_AT, lambda: end(world))
+
+    return plan
+
+
+def lose_datagrams(share: float) -> Load:
+    """Return a load within which all links lose a share of the datagrams."""
+
+    def lose(world: World) -> None:
+        world.network.loss = share
+
+    def plan(world: World) -> None:
+        world.clock.at(LEAD + BURST_AT, lambda: lose(world))
+
+    return plan
+
+
 def crash_two(world: World) -> None:
     """End two targets of the larger service; their entries go later."""
     desk = [one for one in world.targets.values() if one.service == "desk"]
--- a/citronspring/events.py
+++ b/citronspring/events.py
@@ -283,6 +283,21 @@
     "A connection was closed before the whole answer had gone out.",
     "If it is often the same host that asked: look at the way to it.",
 )
+INQUIRY_ENDED = Event(
+    650,
+    "inquiry-ended",
+    Level.INFO,
+    "The hosts of the zone were asked whether silent targets have answered them.",
+    "If few reply: look at the link of the zone's reader, which asks.",
+)
+TARGET_LOST = Event(
+    651,
+    "target-lost",
+    Level.WARNING,
+    "No host of the zone has heard of a target that left several requests unanswered; "
+    "its flows are reset where that is safe, and new ones go elsewhere.",
+    "Look at the target and its link: its entry is still there.",
+)
 LINES_LEFT_OUT = Event(
     690,
     "lines-left-out",
--- a/citronspring/host_settings.py
+++ b/citronspring/host_settings.py
@@ -21,6 +21,9 @@
     readiness: Endpoint
     #: Where peers ask for copies of what this host knows.
     copies: Endpoint
+    #: Where hosts of the zone tell each other of silent targets; the port is the
+    #: same at all hosts.
+    messages: Endpoint
     #: Where other hosts answer that; some may be gone.
     peers: tuple[Endpoint, ...]
     store: Endpoint
--- /dev/null
+++ b/citronspring/lean_sockets.py
@@ -0,0 +1,77 @@
+"""Sockets and signals, without the enums that their standard modules make of names.
+
+See `citronspring.lean` for why.
+"""
+
+from __future__ import annotations
+
+from citronspring.lean import TYPE_CHECKING
+
+__all__ = [
+    "AF_INET",
+    "IPPROTO_TCP",
+    "SIGHUP",
+    "SIGINT",
+    "SIGTERM",
+    "SIGUSR1",
+    "SOCK_DGRAM",
+    "SOCK_STREAM",
+    "SOL_SOCKET",
+    "SO_ERROR",
+    "SO_RCVBUF",
+    "SO_REUSEADDR",
+    "TCP_NODELAY",
+    "Socket",
+    "inet_ntoa",
+    "inet_pton",
+    "set_signal_handler",
+    "set_wakeup_fd",
+    "socketpair",
+]
+
+if TYPE_CHECKING:
+    from signal import SIGHUP, SIGINT, SIGTERM, SIGUSR1, set_wakeup_fd
+    from signal import signal as set_signal_handler
+    from socket import (
+        AF_INET,
+        IPPROTO_TCP,
+        SO_ERROR,
+        SO_RCVBUF,
+        SO_REUSEADDR,
+        SOCK_DGRAM,
+        SOCK_STREAM,
+        SOL_SOCKET,
+        TCP_NODELAY,
+        inet_ntoa,
+        inet_pton,
+        socketpair,
+    )
+    from socket import socket as Socket  # noqa: N812
+else:
+    from _signal import SIGHUP, SIGINT, SIGTERM, SIGUSR1, set_wakeup_fd
+    from _signal import signal as set_signal_handler
+    from _socket import (
+        AF_INET,
+        IPPROTO_TCP,
+        SO_ERROR,
+        SO_RCVBUF,
+        SO_REUSEADDR,
+        SOCK_DGRAM,
+        SOCK_STREAM,
+        SOL_SOCKET,
+        TCP_NODELAY,
+        inet_ntoa,
+        inet_pton,
+        socketpair,
+    )
+    from _socket import socket as PlainSocket  # noqa: N812
+
+    class Socket(PlainSocket):
+        """A socket of the operating system."""
+
+        __slots__ = ()
+
+        def accept(self):
+            """Return the socket of a connection that waits, and its other end."""
+            descriptor, address = self._accept()
+            return Socket(self.family, self.type, self.proto, descriptor), address
--- a/citronspring/platform/addresses.py
+++ b/citronspring/platform/addresses.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from citronspring.endpoints import Endpoint
-from citronspring.lean import AF_INET, inet_pton
+from citronspring.lean_sockets import AF_INET, inet_pton
 
 #: Largest number of a port.
 LARGEST_PORT = 65535
--- a/citronspring/platform/packets.py
+++ b/citronspring/platform/packets.py
@@ -4,7 +4,8 @@
 
 from citronspring.errors import MalformedPacketError
 from citronspring.flags import ACK, FIN, RST, SYN
-from citronspring.lean import Struct, inet_ntoa
+from citronspring.lean import Struct
+from citronspring.lean_sockets import inet_ntoa
 from citronspring.tokens.entities import PORT_BITS, Packet
 
 #: seq, ack, flags, echo, dport, sport, src, dst, sum, len. The fourth, ``echo``, is
--- a/citronspring/platform/settings.py
+++ b/citronspring/platform/settings.py
@@ -9,7 +9,7 @@
 from citronspring.host_settings import HostSettings
 from citronspring.json_text import loads
 from citronspring.lean import TYPE_CHECKING
-from citronspring.platform.addresses import endpoint_of
+from citronspring.platform.addresses import endpoint_of, port_number
 
 if TYPE_CHECKING:
     from typing import Any
@@ -83,6 +83,7 @@
         readiness=address_of(addresses, "ready"),
         # The platform keeps this address for calls between a system's own hosts.
         copies=address_of(addresses, "control"),
+        messages=own_port_of(table),
         peers=peers_of(table),
         store=address_of(section(table, "platform"), "addr"),
         link_rate=limit_of(table, "link_mbps", 1000.0) * BYTES_OF_MEGABIT,
@@ -137,6 +138,23 @@
         raise wrong(name, value, "an IPv4 address and a port, 10.0.0.1:8080") from error
 
 
+def own_port_of(table: dict[str, Any]) -> Endpoint:
+    """Return the first of the ports that a system's own hosts may use freely.
+
+    Where none is named, that of copies: those come by connections, not datagrams.
+    """
+    copies = address_of(section(table, "listen_addrs"), "control")
+    ports = table.get("internal_ports")
+    if not ports:
+        return copies
+    if not isinstance(ports, list):
+        raise wrong("internal_ports", ports, "a list of ports")
+    try:
+        return Endpoint(copies.ip, port_number(str(ports[0])))
+    except ValueError as error:
+        raise wrong("internal_ports", ports, "a list of ports") from error
+
+
 def peers_of(table: dict[str, Any]) -> tuple[Endpoint, ...]:
     """Return the addresses of other hosts, without this host's own."""
     seeds = table.get("seeds", [])
--- a/citronspring/tokens/balancer.py
+++ b/citronspring/tokens/balancer.py
@@ -12,6 +12,13 @@
 )
 from citronspring.tokens.flows import SWEEP_INTERVAL, expire_flows
 from citronspring.tokens.forwarding import receive_packet
+from citronspring.tokens.inquiry import (
+    inquire,
+    next_inquiry_deadline,
+    note_member,
+    report_suspicions,
+    take_host_message,
+)
 from citronspring.tokens.messages import Log
 from citronspring.tokens.news import answer_poll
 from citronspring.tokens.openings import overdue_openings, place_opening
@@ -38,6 +45,7 @@
         StoreCall,
     )
     from citronspring.tokens.news import Poll
+    from citronspring.tokens.suspicions import HostMessage
 
 #: Seconds for which a leaving host forwards at least: routers ask for its readiness
 #: twice a second and send until they have missed it twice.
@@ -166,8 +174,17 @@
 
     def answer_poll(self, poll: Poll, now: float) -> tuple[int, bytes] | None:
         """Return status and body for a follower, None to let it wait on."""
+        note_member(self.tables, poll.host, now)
         return answer_poll(self.tables, self.times, poll, now)
 
+    def take_host_message(
+        self, message: HostMessage, source: str, now: float
+    ) -> list[Action]:
+        """Take what another host of the zone says; ``source`` is its address."""
+        actions: list[Action] = []
+        take_host_message(self.tables, message, source, now, actions)
+        return actions
+
     def tick(self, now: float) -> list[Action]:
         """Do what time has come for; packets that wait are to be received first.
 
@@ -182,6 +199,8 @@
             route = tables.routes.get(flow.route)
             if route is not None and flow.opening is not None:
                 place_opening(tables, flow.opening, route, flow, now, actions)
+        report_suspicions(tables, now, actions)
+        inquire(tables, now, actions)
         if now >= tables.sweep_at:
             tables.sweep_at = now + SWEEP_INTERVAL
             expire_flows(tables, now)
@@ -191,9 +210,10 @@
     def next_deadline(self, now: float) -> float:
         """Return the time at which `tick` has something to do next."""
         tables = self.tables
+        deadline = min(tables.sweep_at, next_inquiry_deadline(tables.inquiry))
         if tables.opening_deadlines:
-            return min(tables.opening_deadlines[0][0], tables.sweep_at)
-        return max(tables.sweep_at, now)
+            return min(tables.opening_deadlines[0][0], deadline)
+        return max(deadline, now)
 
     def leave(self, deadline: float, now: float) -> list[Action]:
         """Turn unready, and go on forwarding until routers send no more."""
--- a/citronspring/tokens/evidence.py
+++ b/citronspring/tokens/evidence.py
@@ -83,6 +83,7 @@
     row.silences = 0
     row.repeats = 0
     row.avoid_until = 0.0
+    row.lost_until = -INFINITY
     zone = tables.zone_row(row.target.zone)
     zone.answered_at = now
     zone.answered_sent_at = max(zone.answered_sent_at, sent_at)
@@ -120,6 +121,7 @@
             row.first_repeated_at = now
         row.repeats += 1
         row.repeated_at = now
+        tables.suspected.append((row, flow.asked_at))
         row.repeated_sent_at = flow.asked_at
 
 
@@ -158,12 +160,16 @@
     target is well; so the requests of two flows, or all that went to another zone, must
     have stayed without an answer. Where only other flows were repeated, the belief soon
     needs new evidence: a target that is in reach again would answer the next request.
+    What a host has not seen itself, the hosts of its zone may have seen together; see
+    `citronspring.tokens.inquiry`.
 
     All of that is seen on every target at once when the host's own link is full. So
     answers of other targets must show that packets get out and back: in bursts of
     callers on small links 608 flows of eight runs were reset without it, none with it.
     """
     row = flow.target
+    if row.lost_until > now and works(tables, row, row.lost_since, now):
+        return True
     if flow.repeats and lost_with_its_zone(tables, flow, now):
         return works(tables, row, flow.asked_at, now, whole_zone=True)
     recent = now - row.repeated_at <= CERTAINTY_LASTS
--- /dev/null
+++ b/citronspring/tokens/inquiry.py
@@ -0,0 +1,332 @@
+"""What a zone knows together of targets that have died without a sign.
+
+In a large fleet a host sees a request of a given target once in half a minute, so the
+two witnesses that make a loss certain almost never meet at one host. Hosts therefore
+report each request that was sent again in vain to the reader of their zone. Once
+several have reported a target, the reader asks all hosts whether it has answered any of
+them since; if most reply, and none of them knows of an answer, it is lost for all.
+
+A host that is wrong cannot bring a reset about. Its link may be full, or it may have
+stood still: then others have heard of the target, or do not reply in time. Who acts on
+a verdict checks that it has heard nothing since either, and that its own path works.
+"""
+
+from __future__ import annotations
+
+from citronspring.events import INQUIRY_ENDED, TARGET_LOST
+from citronspring.lean import INFINITY, TYPE_CHECKING
+from citronspring.tokens.election import holds_zone
+from citronspring.tokens.entities import token_of
+from citronspring.tokens.messages import Log, Tell
+from citronspring.tokens.own_path import is_lossy
+from citronspring.tokens.suspicions import (
+    MOST_SUSPICIONS,
+    Inquiry,
+    Reply,
+    Report,
+    Suspicion,
+    Verdict,
+)
+from citronspring.tokens.tables import OpenInquiry, Witness
+
+if TYPE_CHECKING:
+    from citronspring.tokens.messages import Action
+    from citronspring.tokens.suspicions import HostMessage
+    from citronspring.tokens.tables import InquiryTable, Tables, TargetRow
+
+#: Requests of different flows, sent again in vain, that make the reader ask, and the
+#: hosts that must have seen them. So many in a row, with no answer between, are no
+#: chance even where links lose one datagram of twenty.
+WITNESSES = 4
+WITNESSING_HOSTS = 2
+
+#: Seconds for which a report counts.
+REPORT_LASTS = 1.0
+
+#: Seconds that the reader waits for replies: fifty times the way within a zone, and
+#: as long as a busy host takes for a turn.
+REPLY_WAIT = 0.1
+
+#: Seconds until the reader asks about the same target again.
+ASK_PAUSE = 0.3
+
+#: Share of the hosts asked that must reply. A reader that is half cut off, or whose
+#: link is full, hears from fewer and believes nothing.
+QUORUM = 2 / 3
+
+#: Seconds within which a host that has asked for news counts as one of the zone.
+MEMBER_LASTS = 6.0
+
+#: Targets that had answered after all, in the last seconds, from which on reports are
+#: put down to lossy links and believed no more.
+MOST_DENIALS = 2
+DENIALS_LAST = 3.0
+
+#: Seconds by which what was sent is taken to be older than the message says: its way
+#: and a turn of either process.
+AGE_MARGIN = 0.02
+
+#: Seconds for which a target counts as lost after a verdict.
+VERDICT_LASTS = 2.0
+
+
+# At every host ----------------------------------------------------------------------
+
+
+def report_suspicions(tables: Tables, now: float, actions: list[Action]) -> None:
+    """Hand on what was sent again in vain since the last turn."""
+    fresh = tables.suspected
+    if not fresh:
+        return
+    tables.suspected = []
+    path = tables.own_path
+    if is_lossy(path, now):
+        return
+    suspicions = [
+        Suspicion(row.target.incarnation, now - sent_at)
+        for row, sent_at in fresh
+        if sent_at > path.disturbed_at
+    ][:MOST_SUSPICIONS]
+    reader = tables.zone_readers.get(tables.zone)
+    if not suspicions or reader is None:
+        return
+    report = Report(tuple(suspicions))
+    if holds_zone(tables):
+        take_report(tables, report, tables.host_id, now)
+    else:
+        actions.append(Tell(reader.endpoint.ip, report))
+
+
+def take_host_message(
+    tables: Tables, message: HostMessage, source: str, now: float, actions: list[Action]
+) -> None:
+    """Take what another host of the zone says.
+
+    Parameters
+    ----------
+    tables : Tables
+        All state.
+    message : HostMessage
+        What it says.
+    source : str
+        Address that it came from.
+    now : float
+        Seconds.
+    actions : list of Action
+        Takes what is to be done.
+    """
+    reader = tables.zone_readers.get(tables.zone)
+    from_reader = reader is not None and source == reader.endpoint.ip
+    match message:
+        case Report() if holds_zone(tables):
+            take_report(tables, message, source, now)
+        case Reply() if holds_zone(tables):
+            take_reply(tables, message, source)
+        case Inquiry() if from_reader:
+            reply_to(tables, message, source, now, actions)
+        case Verdict() if from_reader:
+            for suspicion in message.suspicions:
+                take_loss(tables, suspicion, now, actions)
+        case _:
+            # Who has just become the reader, or was it, is not agreed on yet.
+            tables.counters["host-messages-unused"] += 1
+
+
+def reply_to(
+    tables: Tables, inquiry: Inquiry, reader: str, now: float, actions: list[Action]
+) -> None:
+    """Tell the reader which targets have answered here.
+
+    A host that stood still has perhaps not read their answers, and says nothing.
+    """
+    oldest = max((one.age for one in inquiry.suspicions), default=0.0)
+    if now - oldest - AGE_MARGIN <= tables.own_path.disturbed_at:
+        return
+    answered = tuple(
+        one.incarnation
+        for one in inquiry.suspicions
+        if has_answered(tables, one.incarnation, now - one.age - AGE_MARGIN)
+    )
+    actions.append(Tell(reader, Reply(inquiry.number, answered)))
+
+
+def row_of(tables: Tables, incarnation: int) -> TargetRow | None:
+    """Return the row of a start of a target."""
+    row = tables.by_token.get(token_of(incarnation))
+    return row if row is not None and row.target.incarnation == incarnation else None
+
+
+def has_answered(tables: Tables, incarnation: int, since: float) -> bool:
+    """Whether anything that a target sent since then has shown here."""
+    row = row_of(tables, incarnation)
+    return row is not None and row.answered_at >= since
+
+
+def take_loss(
+    tables: Tables, suspicion: Suspicion, now: float, actions: list[Action]
+) -> None:
+    """Take that no host of the zone has heard of a target, unless this one has.
+
+    What was said of an earlier start of it counts for nothing.
+    """
+    row = row_of(tables, suspicion.incarnation)
+    since = now - suspicion.age - AGE_MARGIN
+    if row is None or max(row.answered_at, row.known_at) >= since:
+        return
+    row.lost_since = since
+    row.lost_until = now + VERDICT_LASTS
+    row.avoid_until = max(row.avoid_until, row.lost_until)
+    fields: dict[str, object] = {
+        "target": row.target.target_id,
+        "silent": round(now - since, 3),
+        "flows": row.flows,
+    }
+    actions.append(Log(TARGET_LOST.number, fields))
+
+
+# At the zone's reader ---------------------------------------------------------------
+
+
+def note_member(tables: Tables, host: str, now: float) -> None:
+    """Take that a host of the zone has asked for news."""
+    if host:
+        tables.inquiry.members[host] = now
+
+
+def take_report(tables: Tables, report: Report, host: str, now: float) -> None:
+    """Keep what a host reports."""
+    for suspicion in report.suspicions:
+        witness = Witness(host, now - suspicion.age, now)
+        witnesses = tables.inquiry.witnesses
+        witnesses.setdefault(suspicion.incarnation, []).append(witness)
+
+
+def take_reply(tables: Tables, reply: Reply, host: str) -> None:
+    """Take a host's reply to the question that is being asked."""
+    inquiry = tables.inquiry.open
+    if inquiry is None or inquiry.number != reply.number:
+        return
+    if host in inquiry.members:
+        inquiry.replied.add(host)
+        inquiry.denied.update(reply.answered)
+
+
+def inquire(tables: Tables, now: float, actions: list[Action]) -> None:
+    """End the question that is being asked, and ask the next one if there is one."""
+    table = tables.inquiry
+    inquiry = table.open
+    if inquiry is not None:
+        if inquiry.replied < inquiry.members and now < inquiry.deadline:
+            return
+        table.open = None
+        conclude(tables, inquiry, now, actions)
+    if table.witnesses:
+        begin_inquiry(tables, now, actions)
+
+
+def next_inquiry_deadline(table: InquiryTable) -> float:
+    """Return the time at which a question ends, infinite while none is asked."""
+    return table.open.deadline if table.open is not None else INFINITY
+
+
+def begin_inquiry(tables: Tables, now: float, actions: list[Action]) -> None:
+    """Ask all hosts of the zone about the targets that several have reported."""
+    table = tables.inquiry
+    forget_witnesses(table, now)
+    since = {
+        incarnation: silent_since(witnesses)
+        for incarnation, witnesses in table.witnesses.items()
+        if suffices(witnesses) and table.retry_at.get(incarnation, now) <= now
+    }
+    since = dict(list(since.items())[:MOST_SUSPICIONS])
+    if not since or not holds_zone(tables):
+        return
+    table.members = {
+        host: asked_at
+        for host, asked_at in table.members.items()
+        if now - asked_at <= MEMBER_LASTS
+    }
+    members = set(table.members)
+    table.number += 1
+    table.open = OpenInquiry(
+        table.number, now + REPLY_WAIT, members, since, set(), set()
+    )
+    table.retry_at.update(dict.fromkeys(since, now + ASK_PAUSE))
+    message = Inquiry(table.number, suspicions_of(since, now))
+    actions += [Tell(host, message) for host in members]
+
+
+def forget_witnesses(table: InquiryTable, now: float) -> None:
+    """Let go of reports that count no more."""
+    for incarnation, witnesses in list(table.witnesses.items()):
+        fresh = [one for one in witnesses if now - one.heard_at <= REPORT_LASTS]
+        if fresh:
+            table.witnesses[incarnation] = fresh
+        else:
+            del table.witnesses[incarnation]
+            table.retry_at.pop(incarnation, None)
+
+
+def suffices(witnesses: list[Witness]) -> bool:
+    """Whether enough requests were sent again, at enough hosts."""
+    hosts = {one.host for one in witnesses}
+    return len(witnesses) >= WITNESSES and len(hosts) >= WITNESSING_HOSTS
+
+
+def silent_since(witnesses: list[Witness]) -> float:
+    """Return since when a target must have been silent: so many requests are as new.
+
+    An answer between them shows that the older ones were lost on their way.
+    """
+    return sorted(one.sent_at for one in witnesses)[-WITNESSES]
+
+
+def suspicions_of(since: dict[int, float], now: float) -> tuple[Suspicion, ...]:
+    """Return targets with the seconds since they fell silent."""
+    return tuple(Suspicion(number, now - at) for number, at in since.items())
+
+
+def heard_enough(inquiry: OpenInquiry) -> bool:
+    """Whether so many hosts have replied that the question came through."""
+    return len(inquiry.replied) >= max(QUORUM * len(inquiry.members), 1)
+
+
+def conclude(
+    tables: Tables, inquiry: OpenInquiry, now: float, actions: list[Action]
+) -> None:
+    """Tell all hosts which targets are lost, if the replies show it."""
+    table = tables.inquiry
+    for incarnation, since in inquiry.since.items():
+        if has_answered(tables, incarnation, since):
+            inquiry.denied.add(incarnation)
+    denied = inquiry.denied & inquiry.since.keys()
+    for incarnation in denied:
+        table.witnesses.pop(incarnation, None)
+        table.denied_at.append(now)
+    while table.denied_at and now - table.denied_at[0] > DENIALS_LAST:
+        table.denied_at.popleft()
+    lost = {
+        incarnation: since
+        for incarnation, since in inquiry.since.items()
+        if incarnation not in denied
+    }
+    believed = heard_enough(inquiry) and len(table.denied_at) < MOST_DENIALS
+    if not believed or is_lossy(tables.own_path, now):
+        lost = {}
+    fields: dict[str, object] = {
+        "asked": len(inquiry.members),
+        "replied": len(inquiry.replied),
+        "targets": len(inquiry.since),
+        "answered": len(denied),
+        "lost": len(lost),
+    }
+    actions.append(Log(INQUIRY_ENDED.number, fields))
+    if not lost:
+        return
+    for incarnation in lost:
+        # To believe it for longer takes newer reports.
+        table.witnesses.pop(incarnation, None)
+    suspicions = suspicions_of(lost, now)
+    actions += [Tell(host, Verdict(suspicions)) for host in inquiry.members]
+    for suspicion in suspicions:
+        take_loss(tables, suspicion, now, actions)
--- a/citronspring/tokens/messages.py
+++ b/citronspring/tokens/messages.py
@@ -14,6 +14,7 @@
         Target,
         ZoneReader,
     )
+    from citronspring.tokens.suspicions import HostMessage
     from citronspring.tokens.tables import TargetRow
 
 
@@ -70,7 +71,16 @@
     fields: dict[str, object]
 
 
-Action = Forward | ResetCaller | Drop | Log
+@record
+class Tell:
+    """Send a message to another host of the zone; it may be lost."""
+
+    #: Address of the host.
+    to: str
+    message: HostMessage
+
+
+Action = Forward | ResetCaller | Drop | Log | Tell
 
 
 # What the reader asks of the store, and what it is told -----------------------
--- a/citronspring/tokens/news.py
+++ b/citronspring/tokens/news.py
@@ -67,6 +67,8 @@
     asked_at: float
     #: When it is answered at the latest.
     deadline: float
+    #: Address of the follower, empty where that is not known.
+    host: str = ""
 
 
 def note_news(tables: Tables) -> None:
--- a/citronspring/tokens/revisions.py
+++ b/citronspring/tokens/revisions.py
@@ -115,10 +115,12 @@
     row = tables.targets.get(target.target_id)
     if row is None:
         row = add_target(tables, target, actions)
+        row.known_at = now
     elif is_old(row, target) or of_earlier_start(row, target):
         return False
     elif of_later_start(row, target.started):
         row = replace_start(tables, row, target, actions)
+        row.known_at = now
     was_leaving = row.target.leaving
     returned = row.gone_at != INFINITY
     row.target = target
--- a/citronspring/tokens/tables.py
+++ b/citronspring/tokens/tables.py
@@ -55,6 +55,12 @@
     repeated_sent_at: float = -INFINITY
     #: Time until which new flows rather go elsewhere.
     avoid_until: float = 0.0
+    #: When this start of the target was first heard of.
+    known_at: float = -INFINITY
+    #: Time until which no host of the zone is believed to reach it, and since when
+    #: none has heard of it.
+    lost_until: float = -INFINITY
+    lost_since: float = INFINITY
 
 
 @record
@@ -123,6 +129,44 @@
     disturbed_at: float = -INFINITY
 
 
+@record
+class Witness:
+    """A request that its target has left without an acknowledgement."""
+
+    host: str
+    sent_at: float
+    heard_at: float
+
+
+@record
+class OpenInquiry:
+    """The question that is being asked."""
+
+    number: int
+    deadline: float
+    members: set[str]
+    #: When the newest requests to each target that it is about had been sent.
+    since: dict[int, float]
+    replied: set[str]
+    denied: set[int]
+
+
+@record
+class InquiryTable:
+    """What the reader of a zone hears from its hosts about silent targets."""
+
+    #: Reports by start of a target.
+    witnesses: dict[int, list[Witness]] = field(default_factory=dict)
+    #: Hosts of the zone, with the time of their last question for news.
+    members: dict[str, float] = field(default_factory=dict)
+    number: int = 0
+    open: OpenInquiry | None = None
+    #: Times from which on the zone may be asked about a target again.
+    retry_at: dict[int, float] = field(default_factory=dict)
+    #: When targets that were reported turned out to have answered.
+    denied_at: deque[float] = field(default_factory=deque)
+
+
 @record
 class ReaderTable:
     """How current the host's knowledge is, and what it asks the store next."""
@@ -229,6 +273,9 @@
     priorities: Counter[int] = field(default_factory=Counter)
     flows: dict[bytes, FlowRow] = field(default_factory=dict)
     own_path: OwnPath = field(default_factory=OwnPath)
+    #: Requests sent again in vain since the last turn: target, and when sent first.
+    suspected: list[tuple[TargetRow, float]] = field(default_factory=list)
+    inquiry: InquiryTable = field(default_factory=InquiryTable)
     #: Deadlines of openings as (time, flow); a heap.
     opening_deadlines: list[tuple[float, bytes]] = field(default_factory=list)
     reader: ReaderTable = field(default_factory=ReaderTable)
--- /dev/null
+++ b/tests/test_tokens/test_inquiry.py
@@ -0,0 +1,352 @@
+"""What the hosts of a zone find out together about silent targets."""
+
+from __future__ import annotations
+
+import itertools
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from citronspring.endpoints import Endpoint
+from citronspring.tokens.entities import ZoneReader
+from citronspring.tokens.inquiry import (
+    DENIALS_LAST,
+    REPLY_WAIT,
+    REPORT_LASTS,
+    VERDICT_LASTS,
+)
+from citronspring.tokens.messages import Forward, ResetReason, Tell
+from citronspring.tokens.news import Poll
+from citronspring.tokens.own_path import note_disturbance
+from citronspring.tokens.placement import choose_target
+from citronspring.tokens.suspicions import (
+    Inquiry,
+    Reply,
+    Report,
+    Suspicion,
+    Verdict,
+    decode_message,
+    encode_message,
+)
+from tests.test_tokens.driver import ORDERS, STREAMS, Driver, make_target, reason_of
+
+#: The zone's reader, and the hosts that follow it.
+READER = "10.0.0.1"
+FOLLOWERS = tuple(f"10.0.0.{number}" for number in range(2, 8))
+
+#: Those of them that see the target leave a request unanswered.
+REPORTING = FOLLOWERS[:4]
+
+#: The target that dies, and how long a caller waits before it sends again.
+DEAD = 1
+RESEND = 0.2
+
+
+class ZoneOfHosts:
+    """Hosts that hand each other messages, with one clock."""
+
+    def __init__(self):
+        self.hosts = {}
+        for address in (READER, *FOLLOWERS):
+            driver = Driver(*(make_target(number) for number in range(1, 4)))
+            driver.tables.host_id = address
+            entry = ZoneReader("north", READER, Endpoint(address, 0), 2)
+            driver.tables.zone_readers["north"] = entry
+            entry.endpoint = Endpoint(READER, 8166)
+            self.hosts[address] = driver
+        #: Addresses whose messages are lost.
+        self.silent = set()
+        self.ports = itertools.count(100)
+        self.now = 100.0
+        for address in FOLLOWERS:
+            self.poll(address)
+
+    @property
+    def reader(self):
+        return self.hosts[READER]
+
+    def poll(self, address):
+        """Have a follower ask the reader for news."""
+        poll = Poll(self.reader.revision, self.now, self.now + 2.0, address)
+        self.reader.core.answer_poll(poll, self.now)
+
+    def pass_time(self, seconds, step=0.01):
+        """Let time pass; all hosts take turns and hear each other."""
+        until = self.now + seconds
+        while self.now < until - step / 2:
+            self.now += step
+            for address, driver in self.hosts.items():
+                driver.now = self.now
+                self.deliver(address, driver.core.tick(self.now))
+
+    def deliver(self, source, actions):
+        """Hand messages over; what they lead to too."""
+        for action in actions:
+            if not isinstance(action, Tell):
+                self.hosts[source].keep([action])
+                continue
+            if source in self.silent or action.to in self.silent:
+                continue
+            message = decode_message(encode_message(action.message))
+            other = self.hosts[action.to]
+            answers = other.core.take_host_message(message, source, self.now)
+            self.deliver(action.to, answers)
+
+    def connect(self, address, port, route=STREAMS):
+        """Open a flow to the target that dies; return its caller."""
+        driver = self.hosts[address]
+        caller = driver.caller(port, route)
+        row = driver.tables.targets[f"i-{DEAD:x}"]
+        caller.open()
+        caller.take_answer(row)
+        caller.ack = 5001
+        return caller
+
+    def lose_requests(self, addresses):
+        """Have a request at each of these hosts stay without an answer."""
+        callers = [
+            self.connect(address, port)
+            for address, port in zip(addresses, self.ports, strict=False)
+        ]
+        self.pass_time(0.02)
+        for caller in callers:
+            caller.ask()
+        for driver in self.hosts.values():
+            driver.prove_path()
+        self.pass_time(RESEND)
+        for caller in callers:
+            caller.ask_again()
+        return callers
+
+    def believes_lost(self, address):
+        row = self.hosts[address].tables.targets[f"i-{DEAD:x}"]
+        return row.lost_until > self.now
+
+
+def test_request_to_a_target_that_died_is_ended_at_a_host_that_saw_nothing():
+    """Callers of a target that died wait until their deadlines.
+
+    Targets died without a sign, and their entries stayed for five seconds. A host sees
+    a request to a given target once in half a minute, so that two repeated requests
+    met at one host twice on a day of 29 dead targets, while 239 requests ran out their
+    deadline. Fifty such signs of each were seen by some twenty hosts of its zone.
+    """
+    zone = ZoneOfHosts()
+    late = zone.connect(FOLLOWERS[5], 99)
+    zone.lose_requests(REPORTING)
+    zone.pass_time(2 * REPLY_WAIT)
+    assert all(zone.believes_lost(address) for address in zone.hosts)
+    action = late.ask()
+    assert reason_of(action) == ResetReason.TARGET_UNREACHABLE
+
+
+def test_new_flows_go_elsewhere_at_once():
+    zone = ZoneOfHosts()
+    zone.lose_requests(REPORTING)
+    zone.pass_time(2 * REPLY_WAIT)
+    tables = zone.hosts[FOLLOWERS[5]].tables
+    ids = {
+        choose_target(tables, "previews", [], zone.now).target.target_id
+        for _ in range(5)
+    }
+    assert f"i-{DEAD:x}" not in ids
+
+
+def test_request_that_may_run_once_only_is_not_ended():
+    zone = ZoneOfHosts()
+    order = zone.connect(FOLLOWERS[5], 99, ORDERS)
+    zone.lose_requests(REPORTING)
+    zone.pass_time(2 * REPLY_WAIT)
+    assert isinstance(order.ask(), Forward)
+
+
+@pytest.mark.parametrize(
+    "addresses", [REPORTING[1:], REPORTING[:1] * 4], ids=["three", "one host"]
+)
+def test_few_reports_ask_nobody(addresses):
+    """A flow of a target that lives is reset.
+
+    Three datagrams to it were lost by chance, or one host's link is full and loses all
+    that it sends. Neither may be taken for a lost target.
+    """
+    zone = ZoneOfHosts()
+    zone.lose_requests(addresses)
+    zone.pass_time(2 * REPLY_WAIT)
+    assert zone.reader.tables.inquiry.number == 0
+
+
+def test_one_host_that_heard_the_target_is_enough():
+    """Four requests are lost on a bad link, and the target's flows are all reset.
+
+    The target lives: at a fifth host a request was answered meanwhile. That host is
+    asked, and what it says must outweigh all reports.
+    """
+    zone = ZoneOfHosts()
+    other = zone.connect(FOLLOWERS[4], 50)
+    zone.lose_requests(REPORTING)
+    other.ask()
+    other.take_response()
+    zone.pass_time(2 * REPLY_WAIT)
+    assert not any(zone.believes_lost(address) for address in zone.hosts)
+    assert zone.reader.tables.inquiry.denied_at
+
+
+def test_without_replies_nothing_is_believed():
+    """The reader's own link is full, and it resets what others could reach.
+
+    Reports come through, its question or the replies do not: what it has not heard
+    says nothing.
+    """
+    zone = ZoneOfHosts()
+    zone.lose_requests(REPORTING)
+    zone.pass_time(0.01)
+    zone.silent = set(FOLLOWERS[1:])
+    zone.pass_time(2 * REPLY_WAIT)
+    assert zone.reader.tables.inquiry.number == 1
+    assert not any(zone.believes_lost(address) for address in zone.hosts)
+
+
+def test_host_that_stood_still_says_nothing():
+    """A frozen host has unread answers of a living target, and denies nothing.
+
+    Its silence must not count as agreement: it does not reply at all.
+    """
+    zone = ZoneOfHosts()
+    zone.lose_requests(REPORTING)
+    zone.pass_time(0.01)
+    for address in FOLLOWERS[1:]:
+        note_disturbance(zone.hosts[address].tables.own_path, zone.now)
+    zone.pass_time(2 * REPLY_WAIT)
+    assert zone.reader.tables.inquiry.number == 1
+    assert not zone.believes_lost(FOLLOWERS[0])
+
+
+def test_host_whose_own_path_fails_does_not_act():
+    """A verdict reaches a host whose link is full; flows that live are reset there.
+
+    Nothing of what it sent lately was answered, so it cannot tell.
+    """
+    zone = ZoneOfHosts()
+    late = zone.connect(FOLLOWERS[5], 99)
+    zone.lose_requests(REPORTING)
+    zone.pass_time(2 * REPLY_WAIT)
+    assert zone.believes_lost(FOLLOWERS[5])
+    zone.hosts[FOLLOWERS[5]].tables.own_path.answers.clear()
+    assert isinstance(late.ask(), Forward)
+
+
+def test_host_that_heard_the_target_since_does_not_believe():
+    zone = ZoneOfHosts()
+    driver = zone.hosts[FOLLOWERS[0]]
+    driver.tables.targets[f"i-{DEAD:x}"].answered_at = zone.now
+    verdict = Verdict((Suspicion(DEAD, 0.3),))
+    driver.keep(driver.core.take_host_message(verdict, READER, zone.now + 0.1))
+    assert not zone.believes_lost(FOLLOWERS[0])
+
+
+def test_verdict_of_an_earlier_start_counts_for_nothing():
+    """A target starts again at once and its new flows are reset for two seconds."""
+    zone = ZoneOfHosts()
+    driver = zone.hosts[FOLLOWERS[0]]
+    driver.now = zone.now = zone.now + 1.0
+    driver.change(make_target(DEAD, revision=9, started=2))
+    driver.change(make_target(DEAD, revision=10, started=3))
+    verdict = Verdict((Suspicion(DEAD, 0.3),))
+    driver.keep(driver.core.take_host_message(verdict, READER, zone.now))
+    assert not zone.believes_lost(FOLLOWERS[0])
+
+
+def test_an_answer_ends_the_belief():
+    zone = ZoneOfHosts()
+    callers = zone.lose_requests(REPORTING)
+    zone.pass_time(2 * REPLY_WAIT)
+    assert zone.believes_lost(FOLLOWERS[0])
+    callers[0].take_response()
+    assert not zone.believes_lost(FOLLOWERS[0])
+
+
+def test_belief_ends_by_itself():
+    zone = ZoneOfHosts()
+    zone.lose_requests(REPORTING)
+    zone.pass_time(2 * REPLY_WAIT + VERDICT_LASTS)
+    assert not any(zone.believes_lost(address) for address in zone.hosts)
+
+
+def test_links_that_lose_much_have_no_targets_lost():
+    """Links lose 3 of 100 datagrams, and flows of living targets are reset.
+
+    Targets are reported again and again, and have answered after all. While that goes
+    on a target that no host happens to have heard of is not lost either.
+    """
+    zone = ZoneOfHosts()
+    zone.reader.tables.inquiry.denied_at.extend([zone.now, zone.now])
+    zone.lose_requests(REPORTING)
+    zone.pass_time(2 * REPLY_WAIT)
+    assert not any(zone.believes_lost(address) for address in zone.hosts)
+    zone.pass_time(DENIALS_LAST)
+    zone.lose_requests(REPORTING)
+    zone.pass_time(2 * REPLY_WAIT)
+    assert zone.believes_lost(READER)
+
+
+def test_old_reports_are_forgotten():
+    zone = ZoneOfHosts()
+    zone.lose_requests(REPORTING[:3])
+    zone.pass_time(REPORT_LASTS + 0.1)
+    zone.lose_requests(REPORTING[3:])
+    zone.pass_time(2 * REPLY_WAIT)
+    assert zone.reader.tables.inquiry.number == 0
+
+
+@pytest.mark.parametrize(
+    "message", [Inquiry(1, (Suspicion(1, 0.3),)), Verdict((Suspicion(1, 0.3),))]
+)
+def test_only_the_reader_is_believed(message):
+    zone = ZoneOfHosts()
+    driver = zone.hosts[FOLLOWERS[0]]
+    assert driver.core.take_host_message(message, FOLLOWERS[1], zone.now) == []
+    assert not zone.believes_lost(FOLLOWERS[0])
+
+
+SUSPICIONS = st.lists(
+    st.builds(
+        Suspicion,
+        st.integers(1, 2**64 - 1),
+        st.integers(0, 600_000).map(lambda number: number / 10_000),
+    ),
+    max_size=30,
+).map(tuple)
+
+MESSAGES = (
+    st.builds(Report, SUSPICIONS)
+    | st.builds(Verdict, SUSPICIONS)
+    | st.builds(Inquiry, st.integers(0, 2**40), SUSPICIONS)
+    | st.builds(Reply, st.integers(0, 2**40), st.lists(st.integers(0)).map(tuple))
+)
+
+
+@given(MESSAGES)
+def test_messages_come_back_as_they_were(message):
+    assert decode_message(encode_message(message)) == message
+
+
+@given(st.binary(max_size=100) | st.text().map(str.encode))
+def test_any_datagram_is_a_message_or_none(data):
+    decode_message(data)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"[]",
+        b'{"verdict": [[1, -1]]}',
+        b'{"verdict": [[1, NaN]]}',
+        b'{"verdict": [[1]]}',
+        b'{"report": 1}',
+        b'{"reply": "x", "answered": []}',
+        b'{"inquiry": 1}',
+    ],
+)
+def test_what_has_another_shape_is_no_message(data):
+    assert decode_message(data) is None
