Have a reader that has started again take its zone up at once

Cause: after a loss of power every zone's entry names a reader that has started again and knows of no lease. Four seconds after the last renewal the entry goes, and all hosts watch the store for the next reader.

Now that host asks for a lease and puts a new entry in the place of the old one.

--- a/citronspring/daemons/line_log.py
+++ b/citronspring/daemons/line_log.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import os
 import time
 
 from citronspring.events import CATALOGUE, LINES_LEFT_OUT, UNKNOWN_EVENT
 from citronspring.json_text import writer_of
-from citronspring.lean import TYPE_CHECKING, Counter
+from citronspring.lean import TYPE_CHECKING, Counter, set_blocking, write_bytes
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -50,7 +49,7 @@
         self.written: Counter[int] = Counter()
         self.left_out: Counter[int] = Counter()
         self.window_ends_at = 0.0
-        os.set_blocking(descriptor, False)
+        set_blocking(descriptor, False)
 
     def write(self, number: int, fields: Mapping[str, object], now: float) -> None:
         """Queue the line of an event, unless its kind has used up its budget."""
@@ -97,7 +96,7 @@
         if not self.waiting:
             return
         try:
-            written = os.write(self.descriptor, self.waiting)
+            written = write_bytes(self.descriptor, self.waiting)
         except BlockingIOError:
             return
         except OSError:
--- a/citronspring/emulator/store.py
+++ b/citronspring/emulator/store.py
@@ -184,9 +184,12 @@
         return Done()
 
     def claim(self, call: ClaimZone, lease: Lease) -> ElectionAnswer:
-        """Register the reader of a zone, unless there is one."""
-        if reader_key(call.zone) in self.entries:
+        """Register the reader of a zone, unless another entry stands there."""
+        known = self.entries.get(reader_key(call.zone))
+        if (known.revision if known is not None else 0) != call.replaces:
             return ConditionFailed()
+        for other in self.leases.values():
+            other.zones.discard(call.zone)
         self.revision += 1
         reader = ZoneReader(call.zone, call.host_id, call.endpoint, self.revision)
         self.entries[reader_key(call.zone)] = reader
--- a/citronspring/lean.py
+++ b/citronspring/lean.py
@@ -19,6 +19,10 @@
     "deque",
     "heappop",
     "heappush",
+    "set_blocking",
+    "stat",
+    "variable",
+    "write_bytes",
 ]
 
 INFINITY = float("inf")
@@ -31,12 +35,19 @@
     from collections import Counter, deque
     from enum import Enum as Choice
     from heapq import heappop, heappush
+    from os import set_blocking, stat
+    from os import write as write_bytes
     from struct import Struct
+
+    def variable(name: str) -> str | None:
+        """Return a variable of the environment, None if it is not set."""
 else:
     from _bisect import bisect_left
     from _collections import deque
     from _heapq import heappop, heappush
     from _struct import Struct
+    from posix import environ, set_blocking, stat
+    from posix import write as write_bytes
 
     class Counter(dict):
         """Counts by key; one that was never counted is 0."""
@@ -61,3 +72,8 @@
 
         def __repr__(self):
             return f"{type(self).__name__}.{self.name}"
+
+    def variable(name):
+        """Return a variable of the environment, None if it is not set."""
+        value = environ.get(name.encode())
+        return None if value is None else value.decode(errors="surrogateescape")
--- a/citronspring/platform/leases.py
+++ b/citronspring/platform/leases.py
@@ -34,9 +34,6 @@
 #: Milliseconds of a second; the platform counts in them.
 MILLISECONDS = 1000
 
-#: As the condition of a write: the key must not exist.
-ABSENT = 0
-
 
 def encode_election_call(call: ElectionCall) -> HttpRequest:
     """Return the request of a call for the choice of a zone's reader."""
@@ -53,12 +50,12 @@
 
 
 def claim_of(call: ClaimZone) -> dict[str, Any]:
-    """Return the write that registers a reader where there is none."""
+    """Return the write that registers a reader; as revision 0 means that none is."""
     key = READER_PREFIX + call.zone
     reader = encode_reader(call.host_id, call.endpoint)
     value = b2a_base64(reader, newline=False).decode()
     return {
-        "expected": [{"key": key, "revision": ABSENT}],
+        "expected": [{"key": key, "revision": call.replaces}],
         "writes": [{"key": key, "value": value, "lease": call.lease}],
         "deletes": [],
     }
--- a/citronspring/platform/records.py
+++ b/citronspring/platform/records.py
@@ -171,7 +171,7 @@
 
 def has_type(value: object, types: tuple[type, ...]) -> bool:
     """Whether a value has one of some JSON types; a truth value is no number."""
-    return isinstance(value, types) and not isinstance(value, bool)
+    return type(value) in types
 
 
 def start_of(body: dict[str, Any]) -> int | None:
--- a/citronspring/platform/settings.py
+++ b/citronspring/platform/settings.py
@@ -2,13 +2,11 @@
 
 from __future__ import annotations
 
-import os
-
 from citronspring.endpoints import Endpoint
 from citronspring.errors import SettingsError
 from citronspring.host_settings import HostSettings
 from citronspring.json_text import loads
-from citronspring.lean import TYPE_CHECKING
+from citronspring.lean import TYPE_CHECKING, stat, variable
 from citronspring.platform.addresses import endpoint_of, port_number
 
 if TYPE_CHECKING:
@@ -32,7 +30,7 @@
     SettingsError
         If it is missing or does not describe a host.
     """
-    path = os.environ.get(PATH_VARIABLE)
+    path = variable(PATH_VARIABLE)
     if not path:
         raise SettingsError(
             f"{PATH_VARIABLE} is not set", "set it to the path of the settings file"
@@ -51,7 +49,7 @@
 def settings_version() -> int:
     """Return a number that differs once the settings file has changed."""
     try:
-        return os.stat(os.environ.get(PATH_VARIABLE, "")).st_mtime_ns
+        return stat(variable(PATH_VARIABLE) or "").st_mtime_ns
     except OSError:
         # Between two versions the file may be missing; the next look finds it.
         return 0
--- a/citronspring/tokens/election.py
+++ b/citronspring/tokens/election.py
@@ -80,20 +80,41 @@
     plan_claim(tables, delay, now)
     if now < next_election_deadline(tables):
         return None
-    if tables.zone in tables.zone_readers:
+    if not lacks_reader(tables):
         return RenewLease(election.lease)
     if not election.lease:
         return GrantLease(LEASE_SECONDS)
-    return ClaimZone(election.lease, tables.zone, tables.host_id, endpoint)
+    own = tables.zone_readers.get(tables.zone)
+    replaces = own.revision if own is not None else 0
+    return ClaimZone(election.lease, tables.zone, tables.host_id, endpoint, replaces)
 
 
 def plan_claim(tables: Tables, delay: float, now: float) -> None:
-    """Decide when this host claims its zone, once nobody is known to read for it."""
+    """Decide when this host claims its zone, once nobody is known to read for it.
+
+    A reader that has started again claims at once: else its zone would have a silent
+    one until the lease of before ends, and then none.
+    """
     election = tables.election
-    if tables.zone in tables.zone_readers or not can_read(tables):
+    note_stale_entry(tables)
+    if not lacks_reader(tables) or not can_read(tables):
         election.claim_at = INFINITY
     elif election.claim_at == INFINITY:
-        election.claim_at = now + delay
+        election.claim_at = now if holds_zone(tables) else now + delay
+
+
+def note_stale_entry(tables: Tables) -> None:
+    """Take that this host is registered under a lease that it does not know."""
+    if holds_zone(tables) and not tables.election.lease:
+        tables.election.stale_revision = tables.zone_readers[tables.zone].revision
+
+
+def lacks_reader(tables: Tables) -> bool:
+    """Whether nobody is registered, or only this host before its start."""
+    reader = tables.zone_readers.get(tables.zone)
+    if reader is None:
+        return True
+    return holds_zone(tables) and reader.revision == tables.election.stale_revision
 
 
 def can_read(tables: Tables) -> bool:
@@ -161,7 +182,7 @@
     election = tables.election
     if tables.leave_deadline is not None:
         return -INFINITY if election.lease else INFINITY
-    if tables.zone not in tables.zone_readers:
+    if lacks_reader(tables):
         return election.claim_at if can_read(tables) else INFINITY
     # A reader that cannot read must not keep others from it.
     if not election.lease or tables.reader.failures or not holds_zone(tables):
--- a/citronspring/tokens/messages.py
+++ b/citronspring/tokens/messages.py
@@ -261,12 +261,14 @@
 
 @record(eq=True)
 class ClaimZone:
-    """Register as the reader of a zone, if none is registered."""
+    """Register as the reader of a zone, unless somebody else has come first."""
 
     lease: int
     zone: str
     host_id: str
     endpoint: Endpoint
+    #: Revision of the entry that this one takes the place of, 0 where there is none.
+    replaces: int = 0
 
 
 @record(eq=True)
--- a/citronspring/tokens/tables.py
+++ b/citronspring/tokens/tables.py
@@ -214,6 +214,9 @@
     claim_at: float = INFINITY
     #: When the lease is renewed next.
     renew_at: float = INFINITY
+    #: Revision of the entry by which it is registered under a lease that it no longer
+    #: knows, as one of before its start.
+    stale_revision: int = 0
 
 
 @record
