Leave reading for a zone to its strong hosts

Cause: of 39 hosts of a zone 3 are strong, and a weak one whose draw was short claimed before them: two of five readers had links of 20 Mbit/s, and refused 640 answers which their share of the link had no room for; 361 followers read the store.

Waiting twice as long for their size, weak hosts claim only where no strong one does.

--- a/citronspring/tokens/election.py
+++ b/citronspring/tokens/election.py
@@ -40,7 +40,7 @@
 
 #: Seconds that a host waits longer the smaller it is, times its share of a processor:
 #: handing on costs a small host more of what it has for callers.
-SMALLNESS_DELAY = 0.1
+SMALLNESS_DELAY = 0.2
 
 #: Longest of that.
 LONGEST_DELAY = 2.0
