--- a/citronspring/emulator/hosts.py
+++ b/citronspring/emulator/hosts.py
@@ -4,8 +4,9 @@
 
 import math
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
+from citronspring.emulator.calls import TURN, Pending
 from citronspring.emulator.downloads import bytes_of
 from citronspring.emulator.links import Link
 from citronspring.emulator.network import CALLERS
@@ -45,9 +46,6 @@
         StoreAnswer,
     )
 
-#: Seconds between two turns of the process when nothing wakes it.
-TURN = 0.01
-
 #: Seconds from the start of a process until it serves.
 START_SECONDS = 0.2
 
@@ -377,32 +375,3 @@
         packet.ack,
         packet.length,
     )
-
-
-@dataclass(slots=True)
-class Pending:
-    """A call under way; it ends once, by its answer or its deadline."""
-
-    host: EmulatedHost
-    boot: int
-    #: Takes the answer at the end of the call.
-    take: Callable[[Any], list[Action]]
-    ended: bool = False
-    #: Whether bytes of the answer arrive; they do without a pause until its end.
-    coming_in: bool = False
-
-    def expire(self) -> None:
-        """Give the call up unless its answer is coming in."""
-        if not self.coming_in:
-            self.answer(Unanswered("no answer in time"))
-
-    def answer(self, answer: StoreAnswer | ElectionAnswer) -> None:
-        """Give the core what came back, unless the call has ended."""
-        host = self.host
-        if self.ended or self.boot != host.boot or host.core is None:
-            return
-        if host.frozen:
-            host.clock.after(TURN, lambda: self.answer(answer))
-            return
-        self.ended = True
-        host.perform(self.take(answer))
--- a/citronspring/tokens/admission.py
+++ b/citronspring/tokens/admission.py
@@ -37,9 +37,8 @@
 MEDIAN_LASTS = 0.5
 
 #: Median time to answer, as a share of the objective, from which openings are refused,
-#: and that from which all are. Queues of half of the objective keep targets at work;
-#: at three times the callers a target can serve, 0.48 of worth became 0.77. At 0.4 to
-#: 0.55, or by a steeper rise, it was within 0.01; from 0.5 on 0.03 less.
+#: and that from which all are. Queues of half of the objective keep targets at work,
+#: and a request that is let in is still answered in time.
 FIRST_REFUSALS = 0.35
 ALL_REFUSED = 0.55
 
--- a/citronspring/tokens/evidence.py
+++ b/citronspring/tokens/evidence.py
@@ -40,8 +40,8 @@
 
 #: Flows whose requests were sent again to a target, without an answer between, that
 #: show it to be out of reach. A target acknowledges bytes at once, however slow its
-#: work is: of 1,630 requests that took over 250 ms none was sent again. So one means
-#: lost datagrams or a lost target, and a second one is no accident. Copies of one
+#: work is, so that callers do not send again. So one means lost datagrams or a lost
+#: target, and a second one is no accident. Copies of one
 #: request count once: datagrams are lost in bursts, and a target that was well has
 #: answered the third copy after two were lost. Openings are no evidence of this: a
 #: full target leaves them unanswered too, and a caller that is gone answers nothing,
@@ -59,8 +59,8 @@
 
 #: Copies of a request to another zone, with no answer from that zone since it was
 #: sent, that do the same. A host with few flows to a zone that is cut off has no other
-#: witness: 213 requests of one day failed for want of it. Two losses in a row come
-#: once in 25 million requests on links that lose one datagram of 5,000.
+#: witness. Two losses in a row come once in 25 million requests on links that lose one
+#: datagram of 5,000.
 CERTAIN_COPIES = 2
 
 #: Seconds for which evidence lasts. Two lost datagrams further apart are a coincidence
@@ -164,8 +164,8 @@
     `citronspring.tokens.inquiry`.
 
     All of that is seen on every target at once when the host's own link is full. So
-    answers of other targets must show that packets get out and back: in bursts of
-    callers on small links 608 flows of eight runs were reset without it, none with it.
+    answers of other targets must show that packets get out and back. Without that,
+    bursts of callers on small links end the flows of targets that are well.
     """
     row = flow.target
     if row.lost_until > now and works(tables, row, row.lost_since, now):
--- a/citronspring/tokens/following.py
+++ b/citronspring/tokens/following.py
@@ -55,8 +55,8 @@
 
     One that has failed is asked for an answer at once: while it is waited for, this
     host hears of nothing else. And none is waited for until what is known here is too
-    old: a reader that fell silent after news of an age of 2.9 s held its zone back for
-    5.8 s of 5.
+    old: a reader that falls silent after news that were old already would hold its zone
+    back beyond the bound.
     """
     age = now - tables.reader.current_at
     wait = max(min(times.follow_wait, times.follow_age - age), 0.0)
--- a/citronspring/tokens/news.py
+++ b/citronspring/tokens/news.py
@@ -43,8 +43,8 @@
 MOST_CHANGES = 1000
 
 #: Share of a host's link that its followers may take. What a link has no room for is
-#: lost, callers' packets first: a configuration of 240 routes sent whole to fourteen
-#: hosts kept a link of 5 Mbit/s full for a second, and flows broke.
+#: lost, callers' packets first: a configuration sent whole to a zone keeps a small link
+#: full for a second, and flows break.
 LINK_SHARE = 0.05
 
 #: Seconds for which an unused share is saved up.
@@ -120,7 +120,7 @@
     """Return the changes above a revision, oldest first.
 
     Looked for from the newest on: the polls of a zone are asked about at each turn of
-    the process, and reading a whole log each time cost a reader a fifth of a core.
+    the process, and a reader has no time to go through a whole log each time.
     """
     found = []
     for logged in reversed(news.changes):
--- a/citronspring/tokens/routes.py
+++ b/citronspring/tokens/routes.py
@@ -32,9 +32,8 @@
 ) -> None:
     """Turn the configuration that is in force into the next one.
 
-    Only routes that differ are touched. A change of one among 4,200 that made all of
-    them anew took 8.5 ms of processor, on small hosts 50 ms in which openings waited;
-    it takes 2 us.
+    Only routes that differ are touched. Openings would wait on small hosts while a
+    change of one route made thousands anew.
     """
     fields: dict[str, object] = {
         "revision": change.revision,
