--- a/tests/test_platform/test_process.py
+++ b/tests/test_platform/test_process.py
@@ -320,6 +320,33 @@
     eventually(lambda: follower.logged("lease-taken"))
 
 
+def test_reports_make_the_reader_ask_and_other_datagrams_harm_nothing(serving, second):
+    """Other hosts report a target, and the reader of the zone asks about it.
+
+    Datagrams that are no messages of hosts are counted, and the host serves on.
+    """
+    hosts = {"host-1": serving, "host-2": second}
+    found = eventually(lambda: serving.logged("reader-changed"))
+    reader = hosts.pop(found[-1]["reader"])
+    (follower,) = hosts.values()
+    eventually(lambda: follower.logged("following"))
+    # The requests must be younger than what is known of their target.
+    time.sleep(0.4)
+    incarnation = int("2ea29917b4", 16)
+    suspicion = [incarnation, 0.2]
+    report = json.dumps({"report": [suspicion, suspicion]}).encode()
+    for data in (b"", b"x", b"[]", b'{"verdict": 1}', report, report):
+        reader.caller.sendto(data, (reader.ip, COPIES))
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as another:
+        another.bind(("127.0.0.3", 0))
+        another.sendto(report, (reader.ip, COPIES))
+    asked = eventually(lambda: reader.logged("inquiry-ended"))[0]
+    assert asked["answered"] == 0
+    unreadable = 'kind="host-messages-unreadable"'
+    assert eventually(lambda: unreadable in reader.get("/metrics")[1])
+    assert reader.status() == 200
+
+
 def test_leaving_reader_gives_its_zone_to_another(serving, second):
     """An operator stops the reader of a zone: the other is registered at once."""
     hosts = {"host-1": serving, "host-2": second}
