Conclude an inquiry in short steps

conclude did four things at once: which targets had answered, how long that voids reports, whether silence shows anything, and telling the zone.

--- a/citronspring/tokens/inquiry.py
+++ b/citronspring/tokens/inquiry.py
@@ -296,22 +296,18 @@
 ) -> None:
     """Tell all hosts which targets are lost, if the replies show it."""
     table = tables.inquiry
-    for incarnation, since in inquiry.since.items():
-        if has_answered(tables, incarnation, since):
-            inquiry.denied.add(incarnation)
-    denied = inquiry.denied & inquiry.since.keys()
-    for incarnation in denied:
-        table.witnesses.pop(incarnation, None)
-        table.denied_at.append(now)
-    while table.denied_at and now - table.denied_at[0] > DENIALS_LAST:
-        table.denied_at.popleft()
+    denied = {
+        incarnation
+        for incarnation, since in inquiry.since.items()
+        if incarnation in inquiry.denied or has_answered(tables, incarnation, since)
+    }
+    note_denials(table, denied, now)
     lost = {
         incarnation: since
         for incarnation, since in inquiry.since.items()
         if incarnation not in denied
     }
-    believed = heard_enough(inquiry) and len(table.denied_at) < MOST_DENIALS
-    if not believed or is_lossy(tables.own_path, now):
+    if not is_believed(tables, inquiry, now):
         lost = {}
     fields: dict[str, object] = {
         "asked": len(inquiry.members),
@@ -321,11 +317,36 @@
         "lost": len(lost),
     }
     actions.append(Log(INQUIRY_ENDED.number, fields))
-    if not lost:
-        return
+    if lost:
+        announce(tables, inquiry, lost, now, actions)
+
+
+def note_denials(table: InquiryTable, denied: set[int], now: float) -> None:
+    """Take that targets had answered after all; their reports count no more."""
+    for incarnation in denied:
+        table.witnesses.pop(incarnation, None)
+        table.denied_at.append(now)
+    while table.denied_at and now - table.denied_at[0] > DENIALS_LAST:
+        table.denied_at.popleft()
+
+
+def is_believed(tables: Tables, inquiry: OpenInquiry, now: float) -> bool:
+    """Whether silence of the hosts shows anything now."""
+    few_denials = len(tables.inquiry.denied_at) < MOST_DENIALS
+    return heard_enough(inquiry) and few_denials and not is_lossy(tables.own_path, now)
+
+
+def announce(
+    tables: Tables,
+    inquiry: OpenInquiry,
+    lost: dict[int, float],
+    now: float,
+    actions: list[Action],
+) -> None:
+    """Tell the hosts that were asked, and this one, which targets are lost."""
     for incarnation in lost:
         # To believe it for longer takes newer reports.
-        table.witnesses.pop(incarnation, None)
+        tables.inquiry.witnesses.pop(incarnation, None)
     suspicions = suspicions_of(lost, now)
     actions += [Tell(host, Verdict(suspicions)) for host in inquiry.members]
     for suspicion in suspicions:
