--- a/citronspring/tokens/messages.py
+++ b/citronspring/tokens/messages.py
@@ -7,15 +7,10 @@
 
 if TYPE_CHECKING:
     from citronspring.endpoints import Endpoint
-    from citronspring.tokens.entities import (
-        Configuration,
-        Packet,
-        Route,
-        Target,
-        ZoneReader,
-    )
+    from citronspring.tokens.entities import Packet
+    from citronspring.tokens.entries import Change, Configuration, Entry, News
+    from citronspring.tokens.rows import TargetRow
     from citronspring.tokens.suspicions import HostMessage
-    from citronspring.tokens.tables import TargetRow
 
 
 class DropReason(Choice):
@@ -27,6 +22,7 @@
     NOT_CONFIGURED = "not-configured"
     NOT_CURRENT = "not-current"
     WAITED = "waited"
+    ZONE_DRAINED = "zone-drained"
 
 
 class ResetReason(Choice):
@@ -37,6 +33,7 @@
     TARGET_GONE = "target-gone"
     TARGET_UNREACHABLE = "target-unreachable"
     OVERLOADED = "overloaded"
+    ZONE_DRAINED = "zone-drained"
 
 
 @record
@@ -124,34 +121,6 @@
 StoreCall = ListEntries | WatchEntries | ReadPeer | FollowReader
 
 
-@record
-class Removed:
-    """A target's entry is gone from the store."""
-
-    target_id: str
-    revision: int
-
-
-@record
-class ReaderRemoved:
-    """The entry of a zone's reader is gone from the store."""
-
-    zone: str
-    revision: int
-
-
-@record
-class Unreadable:
-    """An entry that names nothing to use, as another program may have written it."""
-
-    #: Id of the target, or the key of another entry.
-    name: str
-    reason: str
-    revision: int
-    #: See `Target.started`; None if that cannot be read either.
-    started: int | None = None
-
-
 @record
 class Page:
     """Entries of one page, in the order of their keys."""
@@ -203,24 +172,15 @@
     """What another host knows."""
 
     configuration: Configuration
-    targets: tuple[Target, ...]
+    #: Targets, and what operators want of zones.
+    entries: tuple[Entry, ...]
     #: Revision of the store that all of it stands at.
     revision: int
     #: Seconds since the peer knew that nothing else had changed.
     age: float
-
-
-@record
-class ConfigurationChange:
-    """What differs between two configurations, as hosts hand it on."""
-
-    #: Revisions of both.
-    base: int
-    revision: int
-    idle_timeout: float
-    #: Routes that are new or have changed, and keys of those that are gone.
-    routes: tuple[Route, ...]
-    removed: tuple[int, ...]
+    #: Whether it holds all kinds of entries; hosts of the first release leave drains
+    #: out.
+    whole: bool
 
 
 @record
@@ -315,13 +275,3 @@
 ElectionAnswer = (
     LeaseGranted | Done | ConditionFailed | LeaseLost | Refused | Unanswered
 )
-
-
-if TYPE_CHECKING:
-    #: What an entry of the store holds, and what a change of one brings.
-    Entry = Configuration | Target | ZoneReader | Unreadable
-    Change = Entry | Removed | ReaderRemoved
-    #: The same as hosts hand it on.
-    News = (
-        ConfigurationChange | Target | ZoneReader | Unreadable | Removed | ReaderRemoved
-    )
--- a/citronspring/tokens/placement.py
+++ b/citronspring/tokens/placement.py
@@ -9,7 +9,8 @@
 
 if TYPE_CHECKING:
     from citronspring.tokens.entities import Route
-    from citronspring.tokens.tables import Tables, TargetRow
+    from citronspring.tokens.rows import TargetRow
+    from citronspring.tokens.tables import Tables
 
 #: How much of a request a flow stands for while nothing is outstanding on it.
 IDLE_FLOW_LOAD = 0.25
@@ -53,7 +54,9 @@
     was sent to already only when there is no other.
     """
     placeable = [
-        row for row in tables.by_service.get(service, ()) if not row.target.leaving
+        row
+        for row in tables.by_service.get(service, ())
+        if not row.target.leaving and not tables.is_drained(row.target.zone)
     ]
     if not placeable:
         return None
@@ -62,6 +65,14 @@
     return min(sound, key=lambda row: load_of(tables, row, now))
 
 
+def only_in_drained_zones(tables: Tables, service: str) -> bool:
+    """Whether a service has targets, and none outside of drained zones."""
+    staying = [
+        row for row in tables.by_service.get(service, ()) if not row.target.leaving
+    ]
+    return bool(staying) and all(tables.is_drained(row.target.zone) for row in staying)
+
+
 def rank_of(host_id: str, target_id: str) -> int:
     """Return a target's place among those that are alike to a host.
 
