Give cold targets no new flows while a warm one may answer

Cause: a cold target counted as 0.6 requests busier. Under a rush the warm ones hold more than that, and the least loaded are those that have just started; besides, full targets leave openings unanswered, seem silent, and left the cold ones as the only sound choice. What they bear is bounded over all hosts, of which none knows what the others send. A warm target now comes first unless it is out of reach: found lost by the zone, silent eight times in a row, or of a suspect zone without an answer for a second. Readers hand on what is left of a warm-up and not what it was. Mutants: drains forgotten, drains ended with the store, the weight of before.

--- a/citronspring/emulator/checker.py
+++ b/citronspring/emulator/checker.py
@@ -8,6 +8,7 @@
 
 from citronspring.emulator.callers import Request
 from citronspring.emulator.network import CALM_LOSS
+from citronspring.emulator.zones import ZoneJudge
 from citronspring.flags import SYN
 from citronspring.tokens.messages import ResetReason
 
@@ -63,6 +64,13 @@
     broken: list[str] = field(default_factory=list)
     events: Counter[int] = field(default_factory=Counter)
     resets: Resets = field(default_factory=Resets)
+    #: All targets by incarnation, and all zones.
+    targets: dict[int, EmulatedTarget] = field(default_factory=dict)
+    zones: tuple[str, ...] = ()
+    zone_judge: ZoneJudge = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.zone_judge = ZoneJudge(self)
 
     def break_promise(self, promise: str, detail: str) -> None:
         """Note a broken promise."""
@@ -163,6 +171,8 @@
         self, host: EmulatedHost, target: EmulatedTarget | None, packet: Packet
     ) -> None:
         """Take that a host sends a packet; a leaving target gets no new flow."""
+        if target is not None:
+            self.zone_judge.forwarded(host, target, packet)
         if target is None or target.leaving_at is None or not packet.flags & SYN:
             return
         late = self.clock.now - target.leaving_at > self.change_bound
@@ -188,6 +198,7 @@
     def logged(self, host: EmulatedHost, log: Log) -> None:
         """Count a log event."""
         self.events[log.number] += 1
+        self.zone_judge.logged(host, log)
 
     # Calm ------------------------------------------------------------------------
 
--- a/citronspring/emulator/faults.py
+++ b/citronspring/emulator/faults.py
@@ -281,6 +281,60 @@
     world.store.revoke_reader(world.clock.rng.choice(ZONES))
 
 
+# Of zones, and of targets that start cold ------------------------------------------
+
+
+def drain_zone(world: World, fault: Fault) -> None:
+    """Operators drain a zone, and use it again."""
+    zone = world.clock.rng.choice(ZONES)
+    world.drain_zone(zone)
+    world.clock.after(fault.seconds, lambda: world.end_drain(zone))
+
+
+def drain_again(world: World, fault: Fault) -> None:
+    """Operators drain a zone for less than a second, and once more right after."""
+    zone = world.clock.rng.choice(ZONES)
+    world.drain_zone(zone)
+    world.clock.after(0.6, lambda: world.end_drain(zone))
+    world.clock.after(0.7, lambda: world.drain_zone(zone))
+    world.clock.after(0.7 + fault.seconds, lambda: world.end_drain(zone))
+
+
+def drain_unheard(world: World, fault: Fault) -> None:
+    """A drain ends while watches hear nothing and history is lost."""
+    zone = world.clock.rng.choice(ZONES)
+    world.drain_zone(zone)
+    world.clock.after(fault.seconds, world.store.lose_history)
+    world.clock.after(fault.seconds + 0.5, lambda: world.end_drain(zone))
+
+
+def return_cold(world: World, fault: Fault) -> None:
+    """A zone's targets end without a word; others start in their place, all at once."""
+    zone = world.clock.rng.choice(ZONES)
+    for target in living(world):
+        if target.zone == zone:
+            target.crash()
+            world.clock.after(3.6, lambda one=target: world.store.remove_target(one))
+            world.clock.after(
+                fault.seconds, lambda one=target: world.add_target(one.service, zone)
+            )
+
+
+def release_service(world: World, fault: Fault) -> None:
+    """All targets of the larger service are replaced, a few at a time."""
+    desk = [target for target in living(world) if target.service == "desk"]
+    for number, target in enumerate(desk):
+        world.clock.after(
+            number // 3 * 0.8, lambda one=target: release_target(world, one)
+        )
+
+
+def release_target(world: World, target: EmulatedTarget) -> None:
+    """Replace a target that is still there."""
+    if target.alive and target.leaving_at is None:
+        world.replace_target(target)
+
+
 Befall = Callable[["World", Fault], None]
 
 #: What may befall every run.
@@ -319,3 +373,14 @@
     "grow-configuration": grow_configuration,
     "storm-configuration": storm_configuration,
 }
+
+#: The same as for readers, and zones that are drained or return with cold targets. For
+#: runs in which targets that start are cold.
+ZONE_KINDS: dict[str, Befall] = {
+    **READER_KINDS,
+    "drain-again": drain_again,
+    "drain-unheard": drain_unheard,
+    "drain-zone": drain_zone,
+    "release-service": release_service,
+    "return-cold": return_cold,
+}
--- a/citronspring/emulator/loads.py
+++ b/citronspring/emulator/loads.py
@@ -5,7 +5,8 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from citronspring.emulator.world import LEAD
+from citronspring.emulator.faults import Fault, release_service, return_cold
+from citronspring.emulator.world import LEAD, ZONES
 
 if TYPE_CHECKING:
     from citronspring.emulator.world import World
@@ -114,6 +115,55 @@
         world.clock.after(3.6, lambda one=target: world.store.remove_target(one))
 
 
+def drain_in_rush(factor: float) -> Load:
+    """Return a rush of callers within which a zone is drained; it comes back cold."""
+
+    def plan(world: World) -> None:
+        burst(factor)(world)
+        start = LEAD + BURST_AT + 0.5
+        world.clock.at(start, lambda: world.drain_zone("south"))
+        world.clock.at(start + 3.0, lambda: world.end_drain("south"))
+
+    return plan
+
+
+def return_cold_in_rush(factor: float) -> Load:
+    """Return a rush within which a zone's targets end, and others start at once."""
+    fault = Fault(LEAD + BURST_AT + 0.5, "return-cold", 2.5)
+
+    def plan(world: World) -> None:
+        burst(factor)(world)
+        world.clock.at(fault.at, lambda: return_cold(world, fault))
+
+    return plan
+
+
+def release_in_rush(factor: float) -> Load:
+    """Return a rush within which all targets of a service are replaced."""
+    fault = Fault(LEAD + BURST_AT + 0.5, "release-service", 0.0)
+
+    def plan(world: World) -> None:
+        burst(factor)(world)
+        world.clock.at(fault.at, lambda: release_service(world, fault))
+
+    return plan
+
+
+def scale_out_in_rush(factor: float) -> Load:
+    """Return a rush within which a third more targets start."""
+
+    def add(world: World) -> None:
+        for zone in ZONES:
+            for _ in range(world.sizes.desk_per_zone // 3):
+                world.add_target("desk", zone)
+
+    def plan(world: World) -> None:
+        burst(factor)(world)
+        world.clock.at(LEAD + BURST_AT + 0.5, lambda: add(world))
+
+    return plan
+
+
 def change_configuration(
     idle_routes: int, gap: float, changes: int, at: float = BURST_AT
 ) -> Load:
--- a/citronspring/emulator/run.py
+++ b/citronspring/emulator/run.py
@@ -38,6 +38,8 @@
     seconds: list[tuple[int, int]] = field(default_factory=list)
     #: Resets that hosts sent on open flows, by whether the target held the flow.
     resets: Resets = field(default_factory=Resets)
+    #: Most openings within a second at a cold target while others were warm.
+    cold_openings: int = 0
 
     @property
     def faults_text(self) -> str:
@@ -88,6 +90,7 @@
         broken,
         by_second(world, requests),
         world.checker.resets,
+        world.checker.zone_judge.most_cold_openings,
     )
 
 
--- a/citronspring/emulator/store.py
+++ b/citronspring/emulator/store.py
@@ -11,6 +11,7 @@
     ReaderRemoved,
     Removed,
     Target,
+    ZoneDrain,
     ZoneReader,
 )
 from citronspring.tokens.messages import (
@@ -41,7 +42,7 @@
         StoreAnswer,
     )
 
-Entry = Configuration | Target | ZoneReader
+Entry = Configuration | Target | ZoneReader | ZoneDrain
 Change = Entry | Removed | ReaderRemoved
 
 #: Seconds that an answer takes.
@@ -134,6 +135,20 @@
         self.revision += 1
         self.record(Removed(target.target_id, self.revision))
 
+    def put_drain(self, zone: str) -> None:
+        """Take that operators drain a zone."""
+        self.revision += 1
+        drain = ZoneDrain(zone, self.revision)
+        self.entries[drain_key(zone)] = drain
+        self.record(drain)
+
+    def end_drain(self, zone: str) -> None:
+        """Take that operators use a zone again."""
+        if self.entries.pop(drain_key(zone), None) is None:
+            return
+        self.revision += 1
+        self.record(ZoneDrain(zone, self.revision, ended=True))
+
     def record(self, change: Change) -> None:
         """Note a change and tell the watches."""
         self.changes.append((self.revision, change))
@@ -337,6 +352,11 @@
     return f"reader-of-{zone}"
 
 
+def drain_key(zone: str) -> str:
+    """Return the key by which operators drain a zone."""
+    return f"drain-of-{zone}"
+
+
 def copy_target(target: Target, revision: int) -> Target:
     """Return an entry of a target at a revision."""
     fields = {name: getattr(target, name) for name in type(target).__match_args__}
--- a/citronspring/emulator/targets.py
+++ b/citronspring/emulator/targets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -29,6 +30,9 @@
 #: Bytes of every answer.
 ANSWER_BYTES = 900
 
+#: How much longer a request takes at a target that has just started.
+COLD_SLOWNESS = 1.6
+
 #: Seconds after which an answer that is not acknowledged is sent again, at most so
 #: many times.
 RESEND_SECONDS = 0.2
@@ -89,6 +93,8 @@
     served: int = 0
     #: Whether it takes flows while its queue is full, and turns requests away then.
     sheds: bool = False
+    #: Time until which it works slower after its start.
+    cold_until: float = -math.inf
 
     @property
     def target_id(self) -> str:
@@ -107,7 +113,7 @@
             self.zone,
             self.slots,
             self.leaving_at is not None,
-            0.0,
+            max(self.cold_until - self.clock.now, 0.0),
             0,
         )
 
@@ -134,6 +140,7 @@
         self, packet: Packet, flow: TargetFlow | None, caller: EmulatedCaller
     ) -> None:
         """Answer an opening, unless the queue is full."""
+        self.checker.zone_judge.opening_taken(self)
         if flow is None or flow.first_seq != packet.seq:
             if len(self.queue) >= QUEUE and not self.sheds:
                 return
@@ -196,6 +203,8 @@
             self.served += 1
             self.checker.request_ran(self, flow.caller)
             seconds = self.clock.rng.expovariate(1 / self.work) * self.slowness
+            if self.clock.now < self.cold_until:
+                seconds *= COLD_SLOWNESS
             self.clock.after(seconds, lambda k=key, f=flow: self.finish(k, f))
 
     def finish(self, key: bytes, flow: TargetFlow) -> None:
--- a/citronspring/emulator/world.py
+++ b/citronspring/emulator/world.py
@@ -70,6 +70,8 @@
     #: Seconds within which changes are in force, and after a trouble again.
     change_bound: float = CHANGE_BOUND
     settling: float = SETTLING
+    #: Seconds for which a target that starts during traffic works slower.
+    cold_seconds: float = 0.0
 
 
 @dataclass(slots=True)
@@ -100,6 +102,7 @@
         store = EmulatedStore(clock)
         checker = Checker(clock, network, store, sizes.change_bound, sizes.settling)
         world = cls(clock, network, store, checker, Routers(clock, network), sizes)
+        checker.targets, checker.zones = world.targets, ZONES
         world.change_configuration()
         for zone in ZONES:
             for _ in range(sizes.desk_per_zone):
@@ -146,10 +149,30 @@
             self.clock, self.network, self.checker, incarnation, service, zone
         )
         target.sheds = self.sizes.targets_shed
+        if self.clock.now > LEAD:
+            self.chill(target)
         self.targets[incarnation] = target
         self.store.put_target(target.entry())
         return target
 
+    def chill(self, target: EmulatedTarget) -> None:
+        """Have a target work slower for a while, as after a start."""
+        target.cold_until = self.clock.now + self.sizes.cold_seconds
+
+    def drain_zone(self, zone: str) -> None:
+        """Have operators drain a zone."""
+        self.checker.zone_judge.drained_at.setdefault(zone, self.clock.now)
+        self.store.put_drain(zone)
+
+    def end_drain(self, zone: str) -> None:
+        """Have operators use a zone again; its targets have gone cold meanwhile."""
+        self.checker.zone_judge.drained_at.pop(zone, None)
+        for target in self.targets.values():
+            if target.zone == zone and target.alive and self.sizes.cold_seconds:
+                self.chill(target)
+                self.store.put_target(target.entry())
+        self.store.end_drain(zone)
+
     def replace_target(self, target: EmulatedTarget) -> None:
         """Have a target leave, with another in its place."""
         self.add_target(target.service, target.zone)
--- /dev/null
+++ b/citronspring/emulator/zones.py
@@ -0,0 +1,94 @@
+"""Judges what drained zones get, and targets that have just started."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from citronspring.events import ZONE_DRAIN_CHANGED
+from citronspring.flags import SYN
+
+if TYPE_CHECKING:
+    from citronspring.emulator.checker import Checker
+    from citronspring.emulator.hosts import EmulatedHost
+    from citronspring.emulator.targets import EmulatedTarget
+    from citronspring.tokens.entities import Packet
+    from citronspring.tokens.messages import Log
+
+#: Openings that a cold target bears in any span of a second, from all hosts together.
+COLD_OPENINGS = 5
+COLD_SPAN = 1.0
+
+
+@dataclass(slots=True)
+class ZoneJudge:
+    """What operators want of zones, and what was sent there all the same."""
+
+    checker: Checker
+    #: Since when each drained zone is to get nothing.
+    drained_at: dict[str, float] = field(default_factory=dict)
+    #: Host, its start, and a zone that it has taken to be drained.
+    told: set[tuple[str, int, str]] = field(default_factory=set)
+    #: Times of the newest openings at each cold target.
+    arrivals: dict[int, deque[float]] = field(default_factory=dict)
+    #: Most openings within a second at a cold target.
+    most_cold_openings: int = 0
+
+    def logged(self, host: EmulatedHost, log: Log) -> None:
+        """Take what a host says of drained zones."""
+        if log.number != ZONE_DRAIN_CHANGED.number:
+            return
+        key = (host.host_id, host.boot, str(log.fields["zone"]))
+        if log.fields["drained"]:
+            self.told.add(key)
+        else:
+            self.told.discard(key)
+
+    def forwarded(
+        self, host: EmulatedHost, target: EmulatedTarget, packet: Packet
+    ) -> None:
+        """Take that a host sends a packet to a target."""
+        if not packet.flags & SYN:
+            return
+        checker = self.checker
+        detail = f"{host.host_id} sent an opening to {target.target_id}"
+        if (host.host_id, host.boot, target.zone) in self.told:
+            checker.break_promise("drains are not taken back", detail)
+        drained_at = self.drained_at.get(target.zone)
+        if drained_at is None:
+            return
+        late = checker.clock.now - drained_at > checker.change_bound
+        if late and checker.in_touch(host):
+            checker.break_promise("drained zones rest", detail)
+
+    def opening_taken(self, target: EmulatedTarget) -> None:
+        """Take that an opening has reached a target."""
+        now = self.checker.clock.now
+        if now >= target.cold_until:
+            return
+        times = self.arrivals.setdefault(target.incarnation, deque())
+        times.append(now)
+        while times[0] <= now - COLD_SPAN:
+            times.popleft()
+        if not self.others_could(target):
+            return
+        self.most_cold_openings = max(self.most_cold_openings, len(times))
+        if len(times) > COLD_OPENINGS:
+            detail = f"{target.target_id} got {len(times)} openings in a second"
+            self.checker.break_promise("cold targets rest", detail)
+
+    def others_could(self, target: EmulatedTarget) -> bool:
+        """Whether every host could have given the flow to a warm target."""
+        checker = self.checker
+        if not all(checker.calm(zone) for zone in checker.zones):
+            return False
+        return any(
+            other.service == target.service
+            and other.alive
+            and other.leaving_at is None
+            and other.cold_until <= checker.clock.now
+            and checker.settled(other.disturbed_at)
+            and other.zone not in self.drained_at
+            for other in checker.targets.values()
+        )
--- a/citronspring/tokens/codec.py
+++ b/citronspring/tokens/codec.py
@@ -70,8 +70,8 @@
     return loads(text)
 
 
-def plain_change(change: News) -> dict[str, Any]:
-    """Return a change as plain values."""
+def plain_change(change: News, age: float = 0.0) -> dict[str, Any]:
+    """Return a change as plain values; ``age`` in seconds since it was read."""
     match change:
         case ConfigurationChange():
             return {
@@ -82,7 +82,7 @@
                 "removed_routes": list(change.removed),
             }
         case Target():
-            return {"target": plain_target(change, change.warmup)}
+            return {"target": plain_target(change, max(change.warmup - age, 0.0))}
         case Unreadable():
             names: tuple[str, ...] = Unreadable.__match_args__
             return {"unreadable": {name: getattr(change, name) for name in names}}
--- a/citronspring/tokens/evidence.py
+++ b/citronspring/tokens/evidence.py
@@ -39,6 +39,14 @@
 #: Seconds for which a zone stays suspect without further evidence.
 ZONE_SUSPICION = 1.0
 
+#: Seconds without an answer from a suspect zone after which its targets are taken to be
+#: out of reach, though they may be the only warm ones.
+ZONE_OUT_OF_REACH = 1.0
+
+#: Openings and requests in a row that a target leaves unanswered when it is out of
+#: reach and not just full.
+DEAD_SILENCES = 8
+
 #: Flows whose requests were sent again to a target, without an answer between, that
 #: show it to be out of reach. A target acknowledges bytes at once, however slow its
 #: work is, so that callers do not send again. So one means lost datagrams or a lost
@@ -146,6 +154,20 @@
     return zone is not None and zone.suspect_until > now
 
 
+def out_of_reach(tables: Tables, row: TargetRow, now: float) -> bool:
+    """Whether a target has been silent for so long that it is not just full.
+
+    A full target leaves openings unanswered too, and a rush makes a whole zone suspect
+    for a moment.
+    """
+    if row.lost_until > now or row.silences >= DEAD_SILENCES:
+        return True
+    zone = tables.zones.get(row.target.zone)
+    if zone is None or zone.suspect_until <= now:
+        return False
+    return now - max(zone.answered_at, row.known_at) >= ZONE_OUT_OF_REACH
+
+
 def certainly_gone(tables: Tables, row: TargetRow, now: float) -> bool:
     """Whether the store has been without the target's entry for long enough."""
     return now - row.gone_at >= GONE_CERTAIN and (
--- a/citronspring/tokens/following.py
+++ b/citronspring/tokens/following.py
@@ -85,7 +85,7 @@
         apply_change(tables, change, now, actions)
     reader = tables.reader
     reader.revision = max(reader.revision, answer.revision)
-    note_news(tables)
+    note_news(tables, now)
     confirmed_at = sent_at + answer.held - answer.age
     reader.current_at = max(reader.current_at, confirmed_at)
     if now - confirmed_at > times.follow_age:
--- a/citronspring/tokens/news.py
+++ b/citronspring/tokens/news.py
@@ -14,6 +14,7 @@
     unpack,
 )
 from citronspring.tokens.copies import OK
+from citronspring.tokens.entries import Target
 from citronspring.tokens.messages import HistoryLost, ReaderNews, Refused, Unanswered
 from citronspring.tokens.tables import LoggedChange
 
@@ -55,11 +56,11 @@
     host: str = ""
 
 
-def note_news(tables: Tables) -> None:
+def note_news(tables: Tables, now: float) -> None:
     """Keep what an answer of the store has changed for followers."""
     news = tables.news
     revision = tables.reader.revision
-    news.changes.extend(LoggedChange(revision, change) for change in news.fresh)
+    news.changes.extend(LoggedChange(revision, change, now) for change in news.fresh)
     news.fresh.clear()
     while len(news.changes) > MOST_CHANGES:
         news.base = news.changes.popleft().revision
@@ -95,7 +96,7 @@
     head = dumps(
         {"format": FORMAT, "revision": reader.revision, "age": age, "held": held}
     )
-    listed = ", ".join(text_of(logged) for logged in changes)
+    listed = ", ".join(text_of(logged, now) for logged in changes)
     body = pack(f'{head[:-1]}, "changes": [{listed}]}}')
     if not take_allowance(tables.news, len(body) + HEAD_BYTES, now):
         reason = f"{len(body)} bytes are more than the link has room for\n"
@@ -118,10 +119,16 @@
     return found
 
 
-def text_of(logged: LoggedChange) -> str:
-    """Return a change as it is handed on, written once for all followers."""
+def text_of(logged: LoggedChange, now: float) -> str:
+    """Return a change as it is handed on, written once for all followers.
+
+    But for a target that was cold when it was read: it is so for less time by now.
+    """
+    change = logged.change
+    if isinstance(change, Target) and change.warmup:
+        return dumps(plain_change(change, now - logged.read_at))
     if not logged.text:
-        logged.text = dumps(plain_change(logged.change))
+        logged.text = dumps(plain_change(change))
     return logged.text
 
 
--- a/citronspring/tokens/placement.py
+++ b/citronspring/tokens/placement.py
@@ -5,7 +5,7 @@
 from binascii import crc32
 
 from citronspring.lean import TYPE_CHECKING
-from citronspring.tokens.evidence import avoided
+from citronspring.tokens.evidence import avoided, out_of_reach
 
 if TYPE_CHECKING:
     from citronspring.tokens.entities import Route
@@ -15,10 +15,6 @@
 #: How much of a request a flow stands for while nothing is outstanding on it.
 IDLE_FLOW_LOAD = 0.25
 
-#: Load that a target which has just started counts as having, relative to its
-#: slots: it works about this much slower for some seconds.
-COLD_LOAD = 0.6
-
 #: Load that a target of another zone counts as having. Below one request a slot, so
 #: that zone only decides between targets that are about equally busy.
 OTHER_ZONE_LOAD = 0.2
@@ -54,23 +50,36 @@
     was sent to already only when there is no other.
     """
     placeable = [
-        row
-        for row in tables.by_service.get(service, ())
-        if not row.target.leaving and not tables.is_drained(row.target.zone)
+        row for row in tables.by_service.get(service, ()) if takes(tables, row)
     ]
     if not placeable:
         return None
-    fresh = [row for row in placeable if row not in tried] or placeable
+    usable = [row for row in placeable if bears_flows(tables, row, now)] or placeable
+    fresh = [row for row in usable if row not in tried] or usable
     sound = [row for row in fresh if not avoided(tables, row, now)] or fresh
     return min(sound, key=lambda row: load_of(tables, row, now))
 
 
+def takes(tables: Tables, row: TargetRow) -> bool:
+    """Whether a target may be given new flows at all."""
+    return not row.target.leaving and not tables.is_drained(row.target.zone)
+
+
+def bears_flows(tables: Tables, row: TargetRow, now: float) -> bool:
+    """Whether a target is warm, and may be in reach.
+
+    A cold target bears a few flows a second from all hosts together, and a host does
+    not know what the others send it. So it gets none while a warm one may answer, be
+    that full or silent for a moment: under a rush all of them are.
+    """
+    return row.warm_at <= now and not out_of_reach(tables, row, now)
+
+
 def only_in_drained_zones(tables: Tables, service: str) -> bool:
     """Whether a service has targets, and none outside of drained zones."""
-    staying = [
-        row for row in tables.by_service.get(service, ()) if not row.target.leaving
-    ]
-    return bool(staying) and all(tables.is_drained(row.target.zone) for row in staying)
+    rows = tables.by_service.get(service, ())
+    staying = [row for row in rows if not row.target.leaving]
+    return bool(staying) and not any(takes(tables, row) for row in staying)
 
 
 def rank_of(host_id: str, target_id: str) -> int:
@@ -85,8 +94,6 @@
 def load_of(tables: Tables, row: TargetRow, now: float) -> tuple[float, float, int]:
     """Return how busy a target is for its size; of equals, the longest unused first."""
     load = (row.busy + IDLE_FLOW_LOAD * (row.flows - row.busy)) / row.target.slots
-    if row.warm_at > now:
-        load += COLD_LOAD
     if row.target.zone != tables.zone:
         load += OTHER_ZONE_LOAD
     return load, row.placed_at, row.rank
--- a/citronspring/tokens/reader.py
+++ b/citronspring/tokens/reader.py
@@ -216,7 +216,7 @@
     reader.revision = max(reader.revision, reader.list_revision)
     reader.current_at = max(reader.current_at, reader.list_sent_at)
     if tables.news.base:
-        note_news(tables)
+        note_news(tables, now)
     else:
         begin_news(tables)
     start_list(tables)
@@ -263,7 +263,7 @@
     reader = tables.reader
     if answer.revision is not None:
         reader.revision = max(reader.revision, answer.revision)
-    note_news(tables)
+    note_news(tables, now)
     confirmed_at = sent_at + quiet_time(call, answer, sent_at, now)
     reader.current_at = max(reader.current_at, confirmed_at)
     pause = LEAD_PAUSE if holds_zone(tables) else WATCH_PAUSE
--- a/citronspring/tokens/tables.py
+++ b/citronspring/tokens/tables.py
@@ -113,6 +113,8 @@
 
     revision: int
     change: News
+    #: When this host read it.
+    read_at: float
     #: As it is handed on; made for the first follower that asks.
     text: str = ""
 
--- /dev/null
+++ b/tests/test_emulator/test_drains.py
@@ -0,0 +1,120 @@
+"""Zones that operators drain, and targets that return cold, under faults and rushes."""
+
+from __future__ import annotations
+
+import pytest
+
+from citronspring.emulator.faults import ZONE_KINDS
+from citronspring.emulator.loads import (
+    drain_in_rush,
+    release_in_rush,
+    return_cold_in_rush,
+    scale_out_in_rush,
+)
+from citronspring.emulator.run import play
+from citronspring.emulator.store import Trouble
+from citronspring.emulator.world import Sizes, World
+from citronspring.tokens.evidence import avoided
+from citronspring.tokens.placement import load_of
+from citronspring.tokens.tables import Tables
+
+#: Runs in which targets that start are cold for two seconds.
+COLD = Sizes(cold_seconds=2.0)
+
+#: A small fleet whose targets are half busy, and thirty-nine hosts of which each sees
+#: little.
+SMALL = Sizes(2, 6, 2, 150.0, 14.0, cold_seconds=2.0)
+FLEET = Sizes(13, 8, 2, 200.0, 14.0, cold_seconds=2.0)
+
+RUSHES = (
+    drain_in_rush,
+    release_in_rush,
+    return_cold_in_rush,
+    scale_out_in_rush,
+)
+
+#: Seeds that are tried for a mutant at most.
+MOST_SEEDS = 30
+
+
+@pytest.mark.parametrize("seed", range(16))
+def test_promises_hold_while_zones_are_drained(seed):
+    outcome = play(seed, COLD, kinds=ZONE_KINDS)
+    assert outcome.broken == [], outcome.faults_text
+
+
+@pytest.mark.parametrize("sizes", [SMALL, FLEET], ids=["6 hosts", "39 hosts"])
+@pytest.mark.parametrize("rush", RUSHES, ids=lambda rush: rush.__name__)
+def test_cold_targets_rest_in_a_rush(rush, sizes):
+    """Three times the usual callers come, and a third of the targets are cold.
+
+    The cold ones hold no flows, the others are full or seem silent. A weight of a
+    little more than half a request gave one of them up to 132 openings in a second.
+    """
+    outcome = play(1, sizes, calm=True, load=rush(3.0))
+    assert outcome.broken == []
+
+
+def forget_drains(patch):
+    patch(Tables, "is_drained", lambda tables, zone: False)
+
+
+def end_drains_with_the_store(patch):
+    def is_drained(tables, zone):
+        drain = tables.zone_drains.get(zone)
+        if drain is None or tables.reader.failures >= 3:
+            return False
+        return not drain.ended
+
+    patch(Tables, "is_drained", is_drained)
+
+
+def weigh_cold_targets(patch):
+    def choose(tables, service, tried, now):
+        rows = tables.by_service.get(service, ())
+        rows = [row for row in rows if not row.target.leaving]
+        fresh = [row for row in rows if row not in tried] or rows
+        sound = [row for row in fresh if not avoided(tables, row, now)] or fresh
+        return min(
+            sound,
+            key=lambda row: load_of(tables, row, now)[0] + 0.6 * (row.warm_at > now),
+            default=None,
+        )
+
+    patch("citronspring.tokens.openings.choose_target", choose)
+
+
+def test_checker_notices_forgotten_drains(monkeypatch):
+    forget_drains(monkeypatch.setattr)
+    for seed in range(MOST_SEEDS):
+        broken = play(seed, COLD, kinds=ZONE_KINDS).broken
+        if any("drained zones rest" in line for line in broken):
+            return
+    raise AssertionError("no run shows that drains are forgotten")
+
+
+def store_away_in_a_drain():
+    """Play a run in which the store falls silent while a zone is drained."""
+    world = World.from_seed(1, Sizes(seconds=16.0))
+    world.clock.at(6.0, lambda: world.drain_zone("south"))
+    world.clock.at(8.0, lambda: world.store.begin_trouble(Trouble.SILENT, frozenset()))
+    world.clock.at(14.0, world.store.end_trouble)
+    world.run()
+    return world.checker.broken
+
+
+def test_hosts_go_on_draining_without_the_store(monkeypatch):
+    """The store is away for long while a zone is drained.
+
+    Hosts that took its silence for the end of the drain would place flows there again.
+    """
+    assert store_away_in_a_drain() == []
+    end_drains_with_the_store(monkeypatch.setattr)
+    taken_back = "drains are not taken back"
+    assert any(taken_back in line for line in store_away_in_a_drain())
+
+
+def test_checker_notices_rushes_to_cold_targets(monkeypatch):
+    weigh_cold_targets(monkeypatch.setattr)
+    outcome = play(1, SMALL, calm=True, load=drain_in_rush(3.0))
+    assert any("cold targets rest" in line for line in outcome.broken)
--- a/tests/test_emulator/test_readers.py
+++ b/tests/test_emulator/test_readers.py
@@ -82,7 +82,7 @@
 
 
 def hand_nothing_on(patch):
-    patch("citronspring.tokens.reader.note_news", lambda tables: None)
+    patch("citronspring.tokens.reader.note_news", lambda tables, now: None)
 
 
 @pytest.mark.parametrize(
--- /dev/null
+++ b/tests/test_tokens/test_cold.py
@@ -0,0 +1,116 @@
+"""Targets that have just started get no new flows while others can take them."""
+
+from __future__ import annotations
+
+from citronspring.tokens.copies import decode_copy
+from citronspring.tokens.evidence import DEAD_SILENCES, ZONE_OUT_OF_REACH
+from citronspring.tokens.messages import Forward
+from tests.test_tokens.driver import ORDERS, Driver, make_target, target_of
+from tests.test_tokens.test_peers import copy_of, started
+from tests.test_tokens.zone import ask, follower, leader, next_call
+
+
+def place(driver, ports):
+    """Open flows and keep them; return their targets."""
+    return [driver.caller(port, ORDERS).connect().target.target_id for port in ports]
+
+
+def test_cold_target_gets_nothing_while_another_is_warm():
+    """A zone comes back with targets that are slow and hold no flow.
+
+    By flows alone they are the least loaded: every host would give them its next ones,
+    and together far more than they bear.
+    """
+    driver = Driver(make_target(1), make_target(2, warmup=2.0))
+    assert set(place(driver, range(30))) == {"i-1"}
+    driver.wait(2.1)
+    assert "i-2" in place(driver, range(30, 40))
+
+
+def test_cold_target_gets_nothing_while_the_warm_ones_are_full():
+    """In a rush the warm targets leave openings unanswered, and seem silent."""
+    driver = Driver(make_target(1), make_target(2), make_target(3, warmup=2.0))
+    for port in range(DEAD_SILENCES // 2):
+        driver.caller(port, ORDERS).open()
+        tried = [one for one in driver.wait(0.1) if isinstance(one, Forward)]
+        assert "i-3" not in {target_of(one) for one in tried}
+        for other in range(2):
+            driver.tables.targets[f"i-{other + 1}"].silences = min(
+                driver.tables.targets[f"i-{other + 1}"].silences, 3
+            )
+
+
+def test_cold_targets_are_used_when_all_are_cold():
+    driver = Driver(make_target(1, warmup=2.0), make_target(2, warmup=2.0))
+    assert set(place(driver, range(4))) == {"i-1", "i-2"}
+
+
+def test_cold_target_is_used_when_the_warm_ones_leave():
+    driver = Driver(make_target(1, leaving=True), make_target(2, warmup=2.0))
+    assert set(place(driver, range(4))) == {"i-2"}
+
+
+def test_cold_target_is_used_when_the_warm_one_is_dead():
+    """The only warm target has ended without a word; its entry is still there."""
+    driver = Driver(make_target(1), make_target(2, warmup=9.0))
+    tried = []
+    for port in range(DEAD_SILENCES):
+        caller = driver.caller(port, ORDERS)
+        actions = [caller.open(), *driver.wait(0.1)]
+        tried += [target_of(one) for one in actions if isinstance(one, Forward)]
+        if "i-2" in tried:
+            break
+    assert tried == [*["i-1"] * DEAD_SILENCES, "i-2"]
+
+
+def test_cold_targets_of_a_cut_zone_are_used():
+    """The host's zone came back cold, and is cut off from the warm ones."""
+    driver = Driver(
+        make_target(1, warmup=20.0), make_target(2, "south"), make_target(3, "south")
+    )
+    driver.wait(ZONE_OUT_OF_REACH)
+    for port in range(2):
+        driver.caller(port, ORDERS).open()
+        driver.wait(0.04)
+    assert set(place(driver, range(20, 23))) == {"i-1"}
+
+
+def test_copies_hand_on_what_is_left_of_the_warmup():
+    """A copy is taken 1.5 s after the entry of a cold target was read."""
+    peer = Driver(make_target(1, warmup=2.0), make_target(2))
+    peer.now += 1.5
+    driver = started(Driver(make_target(2), now=peer.now))
+    driver.answer(copy_of(peer))
+    assert set(place(driver, range(6))) == {"i-2"}
+    driver.wait(0.6)
+    assert "i-1" in place(driver, range(6, 12))
+
+
+def test_news_hand_on_what_is_left_of_the_warmup():
+    """A follower hears of a cold target later than its reader.
+
+    Counted anew from there, the target would rest for longer than it is cold.
+    """
+    reader = leader(make_target(2))
+    after = reader.tables.reader.revision
+    reader.change(make_target(1, warmup=2.0, revision=after + 1))
+    reader.now += 1.5
+    driver = follower()
+    driver.now = reader.now
+    next_call(driver)
+    driver.answer(ask_confirmed(reader, after))
+    left = driver.tables.targets["i-1"].warm_at - driver.now
+    assert 0.4 <= left <= 0.6
+
+
+def ask_confirmed(reader, after):
+    reader.tables.reader.current_at = reader.now
+    return ask(reader, after)
+
+
+def test_copy_of_a_warm_target_says_so():
+    peer = Driver(make_target(1, warmup=2.0))
+    peer.now += 3.0
+    status, body = peer.core.copy(peer.now)
+    copy = decode_copy(status, body)
+    assert copy.entries[0].warmup == 0.0
