Weigh targets that had answered against those that nobody has heard of

Cause: two targets that had answered after all within three seconds stopped every verdict of the zone, as on lossy links. Up to a quarter of those that nobody heard, denials are no longer put down to links.

--- a/citronspring/tokens/inquiry.py
+++ b/citronspring/tokens/inquiry.py
@@ -59,8 +59,11 @@
 MEMBER_LASTS = 6.0
 
 #: Targets that had answered after all, in the last seconds, from which on reports are
-#: put down to lossy links and believed no more.
+#: put down to lossy links and believed no more; and their share of those that nobody had
+#: heard, up to which they are not. Where many targets die at once, some have answered
+#: just before, and the others are no less dead.
 MOST_DENIALS = 2
+DENIED_SHARE = 0.25
 DENIALS_LAST = 3.0
 
 #: Seconds by which what was sent is taken to be older than the message says: its way
@@ -308,6 +311,8 @@
         for incarnation, since in inquiry.since.items()
         if incarnation not in denied
     }
+    if heard_enough(inquiry):
+        table.unheard_at.update(dict.fromkeys(lost, now))
     if not is_believed(tables, inquiry, now):
         lost = {}
     fields: dict[str, object] = {
@@ -333,8 +338,15 @@
 
 def is_believed(tables: Tables, inquiry: OpenInquiry, now: float) -> bool:
     """Whether silence of the hosts shows anything now."""
-    few_denials = len(tables.inquiry.denied_at) < MOST_DENIALS
-    return heard_enough(inquiry) and few_denials and not is_lossy(tables.own_path, now)
+    table = tables.inquiry
+    table.unheard_at = {
+        incarnation: unheard_at
+        for incarnation, unheard_at in table.unheard_at.items()
+        if now - unheard_at <= DENIALS_LAST
+    }
+    denials = len(table.denied_at)
+    few = denials < MOST_DENIALS or denials <= DENIED_SHARE * len(table.unheard_at)
+    return heard_enough(inquiry) and few and not is_lossy(tables.own_path, now)
 
 
 def announce(
--- a/citronspring/tokens/tables.py
+++ b/citronspring/tokens/tables.py
@@ -53,6 +53,8 @@
     retry_at: dict[int, float] = field(default_factory=dict)
     #: When targets that were reported turned out to have answered.
     denied_at: deque[float] = field(default_factory=deque)
+    #: When nobody had heard of a target that was asked about, by its start.
+    unheard_at: dict[int, float] = field(default_factory=dict)
 
 
 @record
--- a/tests/test_tokens/test_inquiry.py
+++ b/tests/test_tokens/test_inquiry.py
@@ -290,6 +290,21 @@
     assert zone.believes_lost(READER)
 
 
+def test_targets_that_had_just_answered_do_not_hide_the_others():
+    """A quarter of the targets die at once, two of which had answered just before.
+
+    Put down to lossy links, that left a whole zone without a verdict for two seconds,
+    and requests to ten dead targets ran out their deadlines.
+    """
+    zone = ZoneOfHosts()
+    table = zone.reader.tables.inquiry
+    table.denied_at.extend([zone.now, zone.now])
+    table.unheard_at.update(dict.fromkeys(range(100, 110), zone.now))
+    zone.lose_requests(REPORTING)
+    zone.pass_time(2 * REPLY_WAIT)
+    assert zone.believes_lost(READER)
+
+
 def test_old_reports_are_forgotten():
     zone = ZoneOfHosts()
     zone.lose_requests(REPORTING[:3])
