--- a/citronspring/tokens/reader.py
+++ b/citronspring/tokens/reader.py
@@ -233,7 +233,12 @@
     """
     reader = tables.reader
     entries: list[Entry] = [copy.configuration, *copy.entries]
-    apply_list(tables, entries, copy.revision, now, actions)
+    if copy.whole:
+        apply_list(tables, entries, copy.revision, now, actions)
+    else:
+        # What is missing may just have been left out.
+        for entry in entries:
+            apply_change(tables, entry, now, actions)
     start_list(tables)
     # A watch tells of changes only: what a peer has left out is to be listed.
     reader.listed = copy.whole
--- a/citronspring/tokens/routes.py
+++ b/citronspring/tokens/routes.py
@@ -56,6 +56,7 @@
     route = tables.routes.pop(key, None)
     if route is not None:
         del tables.route_services[key]
+        tables.answers.pop(key, None)
         count_priority(tables, route, -1)
 
 
--- a/tests/test_tokens/test_drains.py
+++ b/tests/test_tokens/test_drains.py
@@ -16,6 +16,7 @@
     Forward,
     HistoryLost,
     ListEntries,
+    Page,
     PeerCopy,
     ReaderNews,
     ResetReason,
@@ -254,6 +255,19 @@
     assert call == ListEntries()
 
 
+def test_copy_of_a_host_that_knows_no_drains_ends_none():
+    """The host has heard of a drain, and then of the configuration by such a copy."""
+    peer = Driver(make_target(1), make_target(2, "south"))
+    peer.change(make_target(3, "south", revision=2))
+    status, body = peer.core.copy(peer.now)
+    plain = json.loads(body)
+    del plain["format"], plain["drains"]
+    driver = started(Driver(make_target(1)))
+    driver.answer(Page((ZoneDrain("north", 1),), 1, None))
+    driver.answer(decode_copy(status, json.dumps(plain).encode()))
+    assert "i-1" not in placed(driver, range(6))
+
+
 def test_host_goes_on_from_a_whole_copy():
     peer = Driver(make_target(1))
     driver = started(Driver(make_target(1)))
--- a/tests/test_trail.py
+++ b/tests/test_trail.py
@@ -37,6 +37,15 @@
     assert trail.lines[-1]["reason"] == "no-target"
 
 
+def test_opening_refused_while_a_zone_is_drained():
+    """An upload was refused at once: all targets of its service were in one zone."""
+    trail = trail_of("100.64.0.9:40011", "zone-drained.log")
+    last = trail.lines[-1]
+    assert (last["reason"], last["drained"]) == ("zone-drained", ["south"])
+    events = [line["event"] for line in trail.lines]
+    assert "zone-drain-changed" in events
+
+
 def test_host_with_old_configuration():
     """A caller of a new address got no answer: its host could not read the store."""
     trail = trail_of("100.64.0.3:40020", "old-configuration.log")
