--- a/citronspring/tokens/admission.py
+++ b/citronspring/tokens/admission.py
@@ -57,6 +57,9 @@
 SIZE_FALL = 0.03
 SIZE_DECAY = 0.05
 
+#: Seconds of that decay that one refusal brings at most.
+LONGEST_DECAY = 1.0
+
 #: Modulus and multiplier of the draw for an opening.
 DRAWS = 1 << 16
 MULTIPLIER = 0x9E3779B1
@@ -81,14 +84,14 @@
     service.answered_at = now
 
 
-def is_answer(row: AnswerRow, size: int, now: float) -> bool:
+def note_answer_size(row: AnswerRow, size: int, now: float) -> bool:
     """Take the size of what a target sent; return whether it is an answer.
 
     What is far smaller than usual is a target's word that it is full. It comes sooner
     than answers do, and counted as one of them it would hide how long those take.
     """
     usual = row.usual_size
-    passed = min(now - row.seen_at, 1.0)
+    passed = min(now - row.seen_at, LONGEST_DECAY)
     row.seen_at = now
     if not usual:
         row.usual_size = float(size)
--- a/citronspring/tokens/forwarding.py
+++ b/citronspring/tokens/forwarding.py
@@ -5,7 +5,7 @@
 from citronspring.events import FLOW_RESET
 from citronspring.flags import FIN, RST, SYN
 from citronspring.lean import INFINITY, TYPE_CHECKING
-from citronspring.tokens.admission import is_answer, note_time_to_answer
+from citronspring.tokens.admission import note_answer_size, note_time_to_answer
 from citronspring.tokens.evidence import (
     certainly_gone,
     certainly_unreachable,
@@ -171,7 +171,7 @@
     size = (packet.ack - flow.ack) & SEQ_MASK
     if 0 < size < SEQ_HALF:
         flow.ack = packet.ack
-        if flow.busy and is_answer(tables.answer_row(flow.route), size, now):
+        if flow.busy and note_answer_size(tables.answer_row(flow.route), size, now):
             service = tables.service_row(flow.target.target.service)
             note_time_to_answer(service, now - flow.asked_at, now)
         note_answer(tables, flow.target, flow.asked_at, now)
--- a/citronspring/tokens/openings.py
+++ b/citronspring/tokens/openings.py
@@ -58,22 +58,35 @@
     if flow is not None and flow.first_seq != packet.seq:
         close_flow(tables, packet.flow, flow)
         flow = None
-    drained = flow is not None and tables.is_drained(flow.target.target.zone)
-    if flow is not None and flow.open:
-        # A copy that was overtaken: its target knows the flow.
-        if drained:
-            actions.append(Drop(packet, DropReason.ZONE_DRAINED))
-        else:
-            actions.append(Forward(packet, flow.target))
-        return
-    overdue = flow is not None and now - flow.asked_at >= OPENING_ANSWER
-    if flow is not None and not overdue and not drained:
-        # Copies that waited here together: the first has had no time to be answered.
+    if flow is None:
+        place_opening(tables, packet, route, None, now, actions)
+    else:
+        receive_copy(tables, packet, route, flow, now, actions)
+
+
+def receive_copy(
+    tables: Tables,
+    packet: Packet,
+    route: Route,
+    flow: FlowRow,
+    now: float,
+    actions: list[Action],
+) -> None:
+    """Send an opening that came again to its target, or to another one."""
+    drained = tables.is_drained(flow.target.target.zone)
+    if flow.open and drained:
+        # It was overtaken; its target knows the flow, and is to get no opening now.
+        actions.append(Drop(packet, DropReason.ZONE_DRAINED))
+    elif flow.open:
         actions.append(Forward(packet, flow.target))
-        return
-    if flow is not None and overdue:
+    elif now - flow.asked_at >= OPENING_ANSWER:
         note_silence(tables, flow.target, flow.asked_at, now)
-    place_opening(tables, packet, route, flow, now, actions)
+        place_opening(tables, packet, route, flow, now, actions)
+    elif drained:
+        place_opening(tables, packet, route, flow, now, actions)
+    else:
+        # Copies that waited here together: the first has had no time to be answered.
+        actions.append(Forward(packet, flow.target))
 
 
 def place_opening(
--- a/citronspring/tokens/placement.py
+++ b/citronspring/tokens/placement.py
@@ -55,32 +55,34 @@
         return None
     # Nearly always the least loaded of all will do; the others are not looked at.
     best = min(rows, key=known_order)
-    if best not in tried and will_do(tables, best, now):
+    if best not in tried and is_first_choice(tables, best, now):
         return best
-    placeable = [row for row in rows if takes(tables, row)]
+    placeable = [row for row in rows if is_placeable(tables, row)]
     if not placeable:
         return None
-    usable = [row for row in placeable if bears_flows(tables, row, now)] or placeable
+    usable = [
+        row for row in placeable if is_warm_in_reach(tables, row, now)
+    ] or placeable
     fresh = [row for row in usable if row not in tried] or usable
     sound = [row for row in fresh if not avoided(tables, row, now)] or fresh
     return min(sound, key=known_order)
 
 
-def will_do(tables: Tables, row: TargetRow, now: float) -> bool:
+def is_first_choice(tables: Tables, row: TargetRow, now: float) -> bool:
     """Whether nothing speaks against a target."""
     return (
-        takes(tables, row)
-        and bears_flows(tables, row, now)
+        is_placeable(tables, row)
+        and is_warm_in_reach(tables, row, now)
         and not avoided(tables, row, now)
     )
 
 
-def takes(tables: Tables, row: TargetRow) -> bool:
+def is_placeable(tables: Tables, row: TargetRow) -> bool:
     """Whether a target may be given new flows at all."""
     return not row.target.leaving and not tables.is_drained(row.target.zone)
 
 
-def bears_flows(tables: Tables, row: TargetRow, now: float) -> bool:
+def is_warm_in_reach(tables: Tables, row: TargetRow, now: float) -> bool:
     """Whether a target is warm, and may be in reach.
 
     A cold target bears a few flows a second from all hosts together, and a host does
@@ -94,7 +96,7 @@
     """Whether a service has targets, and none outside of drained zones."""
     rows = tables.by_service.get(service, ())
     staying = [row for row in rows if not row.target.leaving]
-    return bool(staying) and not any(takes(tables, row) for row in staying)
+    return bool(staying) and not any(is_placeable(tables, row) for row in staying)
 
 
 def rank_of(host_id: str, target_id: str) -> int:
--- a/tests/test_emulator/test_loads.py
+++ b/tests/test_emulator/test_loads.py
@@ -120,7 +120,7 @@
     load = burst(6.0)
     told_apart = in_time_while_pressed(load, LONG_OBJECTIVE)
     monkeypatch.setattr(
-        "citronspring.tokens.forwarding.is_answer", lambda *arguments: True
+        "citronspring.tokens.forwarding.note_answer_size", lambda *arguments: True
     )
     assert told_apart >= 1.05 * in_time_while_pressed(load, LONG_OBJECTIVE)
 
--- a/tests/test_tokens/test_admission.py
+++ b/tests/test_tokens/test_admission.py
@@ -8,7 +8,7 @@
 
 from citronspring.flags import SYN
 from citronspring.tokens.admission import (
-    is_answer,
+    note_answer_size,
     note_time_to_answer,
     refused_share,
 )
@@ -182,7 +182,7 @@
         now = 1.0 + number * 0.02
         refused = number >= 50 and number % 3
         size, seconds = (130, 0.1) if refused else (900 + number % 7 * 100, 0.3)
-        if is_answer(row, size, now):
+        if note_answer_size(row, size, now):
             note_time_to_answer(service, seconds, now)
     assert service.median_delay >= 0.25
 
@@ -191,12 +191,14 @@
     """A release answers with a quarter of the bytes."""
     row = AnswerRow()
     for number in range(50):
-        assert is_answer(row, 1000, number * 0.1)
-    taken = [is_answer(row, 250, 5.0 + number * 0.1) for number in range(600)]
+        assert note_answer_size(row, 1000, number * 0.1)
+    taken = [note_answer_size(row, 250, 5.0 + number * 0.1) for number in range(600)]
     assert not taken[0]
     assert all(taken[100:])
 
 
 def test_small_answers_of_a_route_are_answers():
     row = AnswerRow()
-    assert all(is_answer(row, 200 + number % 40, float(number)) for number in range(50))
+    assert all(
+        note_answer_size(row, 200 + number % 40, float(number)) for number in range(50)
+    )
