--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -4,9 +4,11 @@
 
 import sys
 from concurrent.futures import ProcessPoolExecutor
+from itertools import repeat
 
 from absl import app, flags
 
+from soak.faults import FAULTS, ZONE_FAULTS
 from soak.run import run_seed
 
 FIRST = flags.DEFINE_integer("first", 0, "First seed.")
@@ -15,9 +17,14 @@
 SECONDS = flags.DEFINE_float("seconds", 24.0, "Seconds of traffic of a seed.")
 
 
-def verdict(seed: int, seconds: float) -> tuple[int, list[str], str]:
+ZONES = flags.DEFINE_bool("zones", False, "Have operators drain zones, too.")
+
+
+def verdict(
+    seed: int, seconds: float, kinds: tuple[str, ...]
+) -> tuple[int, list[str], str]:
     """Run a seed; return it with what was broken and a line about it."""
-    soak = run_seed(seed, seconds)
+    soak = run_seed(seed, seconds, kinds)
     requests = soak.checker.requests
     served = sum(one.answered_at is not None for one in requests)
     line = f"seed {seed}: {served} of {len(requests)} served; {', '.join(soak.faults)}"
@@ -30,7 +37,8 @@
     seeds = range(FIRST.value, FIRST.value + SEEDS.value)
     failed = []
     with ProcessPoolExecutor(JOBS.value) as pool:
-        runs = pool.map(verdict, seeds, [SECONDS.value] * len(seeds))
+        kinds = ZONE_FAULTS if ZONES.value else FAULTS
+        runs = pool.map(verdict, seeds, repeat(SECONDS.value), repeat(kinds))
         for seed, broken, line in runs:
             print(line, flush=True)
             for text in broken:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -26,13 +26,21 @@
     "lossy",
 )
 
+#: The same, and zones that operators drain. Apart, so that the seeds of the runs above
+#: go on meaning what they did.
+ZONE_FAULTS = (*FAULTS, "drain")
+
+
+#: Seconds that a drain lasts at least.
+DRAIN_SECONDS = 6.0
+
 
 def draw_fault(soak: Soak, end: float) -> None:
     """Let a fault befall something, and draw the time of the next."""
     if soak.clock.now >= end:
         return
     rng = soak.clock.rng
-    kind = rng.choice(FAULTS)
+    kind = rng.choice(soak.kinds)
     host = rng.choice(soak.hosts)
     seconds = rng.uniform(0.3, 3.0)
     soak.faults.append(f"{kind}@{soak.clock.now:.1f} {host.name} {seconds:.1f}s")
@@ -68,6 +76,8 @@
         case "busy":
             soak.store.refusal = 503
             later(soak, seconds, lambda: end_refusal(soak))
+        case "drain":
+            drain_zone(soak, host.zone, seconds)
         case "lossy":
             soak.loss = 0.05
             later(soak, seconds, lambda: end_loss(soak))
@@ -83,6 +93,22 @@
     soak.clock.after(seconds, undo)
 
 
+def drain_zone(soak: Soak, zone: str, seconds: float) -> None:
+    """Have operators drain a zone for some seconds, unless they do already."""
+    if zone in soak.drained_at:
+        return
+    soak.drained_at[zone] = soak.clock.now
+    soak.store.put(f"op/evacuate/{zone}", {})
+    # Longer than the bound after which nothing may be sent there.
+    later(soak, seconds + DRAIN_SECONDS, lambda: end_drain(soak, zone))
+
+
+def end_drain(soak: Soak, zone: str) -> None:
+    """Have operators use a zone again."""
+    del soak.drained_at[zone]
+    soak.store.delete(f"op/evacuate/{zone}")
+
+
 def end_refusal(soak: Soak) -> None:
     """Have the store serve again."""
     soak.store.refusal = None
--- a/soak/run.py
+++ b/soak/run.py
@@ -18,7 +18,7 @@
 from citronspring.emulator.store import EmulatedStore
 from citronspring.emulator.targets import EmulatedTarget, Reply
 from citronspring.emulator.world import DEADLINES, ORDERS, STREAMS, ZONES
-from citronspring.flags import RST
+from citronspring.flags import RST, SYN
 from citronspring.platform.packets import (
     HEADER,
     INCARNATION,
@@ -26,7 +26,7 @@
     decode_packet,
 )
 from soak.clock import RealClock
-from soak.faults import draw_fault
+from soak.faults import FAULTS, draw_fault
 from soak.hosts import HostProcess, loopback_net
 from soak.proxy import Proxy
 from soak.store import StoreStandIn, serve
@@ -72,6 +72,10 @@
     ready: set[str] = field(default_factory=set)
     loss: float = 0.0
     changed_at: float = 0.0
+    #: Faults that are drawn.
+    kinds: tuple[str, ...] = FAULTS
+    #: Since when operators drain each zone.
+    drained_at: dict[str, float] = field(default_factory=dict)
 
     # What callers and targets send ---------------------------------------------------
 
@@ -129,12 +133,20 @@
         """Take a datagram at a target's address."""
         packet = decode_packet(data[INCARNATION.size :])
         (incarnation,) = INCARNATION.unpack_from(data)
+        if packet.flags & SYN:
+            self.judge_opening(target)
         for caller in reversed(self.checker.callers.values()):
             if same_flow(packet, caller):
                 packet.flow = caller.flow
                 target.receive(packet, incarnation, caller)
                 return
 
+    def judge_opening(self, target: EmulatedTarget) -> None:
+        """Judge an opening by whether its target's zone is drained."""
+        drained_at = self.drained_at.get(target.zone, self.clock.now)
+        if self.calm and self.clock.now - drained_at > SETTLING:
+            self.break_promise(f"{target.target_id} of a drained zone got an opening")
+
     # Parts ---------------------------------------------------------------------------
 
     def add_target(self, service: str, zone: str) -> None:
@@ -291,7 +303,7 @@
     return caller.port & 0xFFFF == sport and caller.route & 0xFFFF == dport
 
 
-def run_seed(seed: int, seconds: float = 20.0) -> Soak:
+def run_seed(seed: int, seconds: float = 20.0, kinds: tuple[str, ...] = FAULTS) -> Soak:
     """Run one seed with three host processes; returns what it showed."""
     with ExitStack() as stack:
         folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
@@ -308,7 +320,7 @@
             stack.callback(proxy.stop)
             ip = f"{loopback_net()}.{11 + number}"
             hosts.append(HostProcess(f"host-{number}", zone, ip, PORT, folder, proxy))
-        soak = Soak(clock, checker, store, hosts, sock)
+        soak = Soak(clock, checker, store, hosts, sock, kinds=kinds)
         clock.read(sock, soak.take_reset)
         play(soak, seconds, stack)
     return soak
