Count the time of the first call from when somebody can read its answer

On a host whose imports take longer than that, as on a processor that is starved, it could be given up unread, the store called lost and the list asked for again. Test first seen failing. The harness of the program's tests stands apart; rushes of the emulator share a function.

--- a/citronspring/daemons/store_calls.py
+++ b/citronspring/daemons/store_calls.py
@@ -88,8 +88,11 @@
             self.adopt(first_call)
 
     def adopt(self, first: FirstCall) -> None:
-        """Take a call that is under way for the first that the core asks for."""
-        deadline = self.core.answer_deadline(first.call, first.sent_at)
+        """Take a call that is under way for the first that the core asks for.
+
+        Its time counts from now: nobody could have read an answer before.
+        """
+        deadline = self.core.answer_deadline(first.call, self.clock())
 
         def done(status: int, body: bytes) -> None:
             self.finish(first.call, status, body, first.sent_at)
--- a/citronspring/emulator/loads.py
+++ b/citronspring/emulator/loads.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from citronspring.emulator.faults import Fault, release_service, return_cold
+from citronspring.emulator.faults import Befall, Fault, release_service, return_cold
 from citronspring.emulator.world import LEAD, ZONES
 
 if TYPE_CHECKING:
@@ -127,26 +127,25 @@
     return plan
 
 
-def return_cold_in_rush(factor: float) -> Load:
-    """Return a rush within which a zone's targets end, and others start at once."""
-    fault = Fault(LEAD + BURST_AT + 0.5, "return-cold", 2.5)
+def befall_in_rush(factor: float, befall: Befall, seconds: float) -> Load:
+    """Return a rush of callers within which a fault befalls the world."""
+    fault = Fault(LEAD + BURST_AT + 0.5, befall.__name__, seconds)
 
     def plan(world: World) -> None:
         burst(factor)(world)
-        world.clock.at(fault.at, lambda: return_cold(world, fault))
+        world.clock.at(fault.at, lambda: befall(world, fault))
 
     return plan
 
 
-def release_in_rush(factor: float) -> Load:
-    """Return a rush within which all targets of a service are replaced."""
-    fault = Fault(LEAD + BURST_AT + 0.5, "release-service", 0.0)
+def return_cold_in_rush(factor: float) -> Load:
+    """Return a rush within which a zone's targets end, and others start at once."""
+    return befall_in_rush(factor, return_cold, 2.5)
 
-    def plan(world: World) -> None:
-        burst(factor)(world)
-        world.clock.at(fault.at, lambda: release_service(world, fault))
 
-    return plan
+def release_in_rush(factor: float) -> Load:
+    """Return a rush within which all targets of a service are replaced."""
+    return befall_in_rush(factor, release_service, 0.0)
 
 
 def scale_out_in_rush(factor: float) -> Load:
--- a/tests/test_daemons/test_first_call.py
+++ b/tests/test_daemons/test_first_call.py
@@ -7,9 +7,14 @@
 
 from citronspring.daemons.first_call import make_first_call
 from citronspring.daemons.http_client import HttpClient
+from citronspring.daemons.store_calls import StoreCalls
 from citronspring.endpoints import Endpoint
+from citronspring.host_settings import HostSettings
 from citronspring.http_request import HttpRequest
+from citronspring.platform.__main__ import TRANSLATION
+from citronspring.tokens.balancer import TokenBalancer
 from citronspring.tokens.messages import ListEntries
+from tests.test_tokens.zone import TIMES
 
 REQUEST = HttpRequest("GET", "/everything")
 
@@ -22,6 +27,15 @@
     return endpoint, make_first_call(endpoint, ListEntries(), REQUEST, 100.0)
 
 
+def settings_with(store):
+    """Return settings of a host that names a store."""
+    own = Endpoint("127.0.0.1", 1)
+    addresses = [own] * 4
+    return HostSettings(
+        "host-1", "north", *addresses, (), store, 1e6, 1.0, 3.0, 4.0, 6.0
+    )
+
+
 def test_answer_that_came_in_meanwhile_is_taken():
     """The store answers while the host still imports its modules."""
     with socket.create_server(("127.0.0.1", 0)) as listener:
@@ -59,3 +73,28 @@
     client.check_deadline(101.5)
     assert ended == [(0, b"no answer in time")]
     server.close()
+
+
+def test_imports_take_nothing_of_the_time_that_an_answer_has():
+    """A host on a busy machine imports for longer than a call may take.
+
+    Counted from its sending, the call was given up before anything could read the
+    answer: the host called the store lost, and asked for its list once more.
+    """
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        endpoint, first = begin(listener)
+        server, _ = listener.accept()
+    imported_at = first.sent_at + 5.0
+    calls = StoreCalls(
+        TokenBalancer.from_config("host-1", "north", TIMES),
+        DefaultSelector(),
+        settings_with(endpoint),
+        TRANSLATION,
+        lambda actions, now: None,
+        lambda: imported_at,
+        first,
+    )
+    calls.run(imported_at)
+    assert calls.store.busy
+    assert calls.store.next_deadline() > imported_at
+    server.close()
