Try a target again that was out of reach for long

Cause, found by reading: whether a warm target is out of reach also decided whether it was used beside other warm ones. It decides about cold targets alone now. Test seen failing.

--- a/citronspring/tokens/placement.py
+++ b/citronspring/tokens/placement.py
@@ -48,7 +48,7 @@
     """Return the target of a service that a new flow goes to, None if there is none.
 
     Targets in doubt are used only when all are in doubt, and one that the opening
-    was sent to already only when there is no other.
+    was sent to already only when there is no other. Cold ones come after both.
     """
     rows = tables.by_service.get(service)
     if not rows:
@@ -60,9 +60,7 @@
     placeable = [row for row in rows if is_placeable(tables, row)]
     if not placeable:
         return None
-    usable = [
-        row for row in placeable if is_warm_in_reach(tables, row, now)
-    ] or placeable
+    usable = bearing(tables, placeable, now)
     fresh = [row for row in usable if row not in tried] or usable
     sound = [row for row in fresh if not avoided(tables, row, now)] or fresh
     return min(sound, key=known_order)
@@ -70,11 +68,8 @@
 
 def is_first_choice(tables: Tables, row: TargetRow, now: float) -> bool:
     """Whether nothing speaks against a target."""
-    return (
-        is_placeable(tables, row)
-        and is_warm_in_reach(tables, row, now)
-        and not avoided(tables, row, now)
-    )
+    warm = row.warm_at <= now
+    return warm and is_placeable(tables, row) and not avoided(tables, row, now)
 
 
 def is_placeable(tables: Tables, row: TargetRow) -> bool:
@@ -82,14 +77,17 @@
     return not row.target.leaving and not tables.is_drained(row.target.zone)
 
 
-def is_warm_in_reach(tables: Tables, row: TargetRow, now: float) -> bool:
-    """Whether a target is warm, and may be in reach.
+def bearing(tables: Tables, rows: list[TargetRow], now: float) -> list[TargetRow]:
+    """Return the warm targets, or all if no warm one may be in reach.
 
     A cold target bears a few flows a second from all hosts together, and a host does
     not know what the others send it. So it gets none while a warm one may answer, be
     that full or silent for a moment: under a rush all of them are.
     """
-    return row.warm_at <= now and not out_of_reach(tables, row, now)
+    warm = [row for row in rows if row.warm_at <= now]
+    if all(out_of_reach(tables, row, now) for row in warm):
+        return rows
+    return warm
 
 
 def only_in_drained_zones(tables: Tables, service: str) -> bool:
--- a/tests/test_tokens/test_cold.py
+++ b/tests/test_tokens/test_cold.py
@@ -3,7 +3,12 @@
 from __future__ import annotations
 
 from citronspring.tokens.copies import decode_copy
-from citronspring.tokens.evidence import DEAD_SILENCES, ZONE_OUT_OF_REACH
+from citronspring.tokens.evidence import (
+    DEAD_SILENCES,
+    LONGEST_AVOIDANCE,
+    ZONE_OUT_OF_REACH,
+    note_silence,
+)
 from citronspring.tokens.messages import Forward
 from tests.test_tokens.driver import ORDERS, Driver, make_target, target_of
 from tests.test_tokens.test_peers import copy_of, started
@@ -114,3 +119,16 @@
     status, body = peer.core.copy(peer.now)
     copy = decode_copy(status, body)
     assert copy.entries[0].warmup == 0.0
+
+
+def test_target_that_was_dead_for_long_is_found_again():
+    """A target left many openings unanswered, and is back; others are warm.
+
+    Were it left out for good, the others would carry its load for ever.
+    """
+    driver = Driver(make_target(1), make_target(2))
+    row = driver.tables.targets["i-1"]
+    for _ in range(DEAD_SILENCES):
+        note_silence(driver.tables, row, driver.now, driver.now)
+    driver.wait(LONGEST_AVOIDANCE + 0.1)
+    assert "i-1" in place(driver, range(6))
