--- a/tests/test_platform/test_process.py
+++ b/tests/test_platform/test_process.py
@@ -183,17 +183,26 @@
         other.caller.close()
 
 
+def reader_and_follower(serving, second):
+    """Return the host that reads for the zone, and the one that follows it.
+
+    Beside load the first reader may lose the store, and its lease to the other: whom a
+    host says it follows counts, not who was registered first.
+    """
+    found = eventually(lambda: serving.logged("following") + second.logged("following"))
+    newest = max(found, key=lambda line: line["time"])
+    hosts = {"host-1": serving, "host-2": second}
+    reader = hosts.pop(newest["reader"])
+    (follower,) = hosts.values()
+    return reader, follower
+
+
 def test_one_host_of_a_zone_reads_for_the_other(serving, second):
     """Two hosts of a zone agree on a reader; a change reaches the other through it.
 
     The reader is killed: the other one reads the store at once, and then for itself.
     """
-    hosts = {"host-1": serving, "host-2": second}
-    # Beside load the first reader may lose the store and its lease to the other.
-    found = eventually(
-        lambda: serving.logged("following") or second.logged("following")
-    )
-    reader = hosts[found[-1]["reader"]]
+    reader, follower = reader_and_follower(serving, second)
     serving.store.put("op/config", {**CONFIGURATION, "version": 9})
     eventually(lambda: follower.logged("configuration-applied")[-1]["revision"] == 9)
     reader.process.kill()
@@ -208,11 +217,7 @@
 
     Datagrams that are no messages of hosts are counted, and the host serves on.
     """
-    hosts = {"host-1": serving, "host-2": second}
-    found = eventually(lambda: serving.logged("reader-changed"))
-    reader = hosts.pop(found[-1]["reader"])
-    (follower,) = hosts.values()
-    eventually(lambda: follower.logged("following"))
+    reader, _ = reader_and_follower(serving, second)
     # The requests must be younger than what is known of their target.
     time.sleep(0.4)
     incarnation = int("2ea29917b4", 16)
@@ -232,11 +237,7 @@
 
 def test_leaving_reader_gives_its_zone_to_another(serving, second):
     """An operator stops the reader of a zone: the other is registered at once."""
-    hosts = {"host-1": serving, "host-2": second}
-    found = eventually(lambda: serving.logged("reader-changed"))
-    reader = hosts.pop(found[-1]["reader"])
-    (follower,) = hosts.values()
-    eventually(lambda: follower.logged("following"))
+    reader, follower = reader_and_follower(serving, second)
     reader.process.send_signal(signal.SIGTERM)
     eventually(lambda: follower.logged("lease-taken"))
     assert reader.process.wait(PATIENCE) == 0
