Tell a whole copy by its format; start more targets as any other fault of a rush

A copy wrote its format and was judged by another field; news were judged by the format already. The rush with more targets repeated what a shared function does. A comment says why the records are imported late.

--- a/citronspring/bundles.py
+++ b/citronspring/bundles.py
@@ -94,8 +94,8 @@
         return False
     if version != sys.version:
         return False
-    # Imported by now, or by the finder right after.
     sys.meta_path.insert(0, BundleFinder(root, rows))
+    # Imported only now, so that it comes from the bundle as well.
     from citronspring.records import COMPILED
 
     COMPILED.update(compiled)
--- a/citronspring/emulator/faults.py
+++ b/citronspring/emulator/faults.py
@@ -329,6 +329,13 @@
         )
 
 
+def scale_out(world: World, fault: Fault) -> None:
+    """A third more targets of the larger service start in each zone."""
+    for zone in ZONES:
+        for _ in range(world.sizes.desk_per_zone // 3):
+            world.add_target("desk", zone)
+
+
 def release_target(world: World, target: EmulatedTarget) -> None:
     """Replace a target that is still there."""
     if target.alive and target.leaving_at is None:
--- a/citronspring/emulator/loads.py
+++ b/citronspring/emulator/loads.py
@@ -5,8 +5,14 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from citronspring.emulator.faults import Befall, Fault, release_service, return_cold
-from citronspring.emulator.world import LEAD, ZONES
+from citronspring.emulator.faults import (
+    Befall,
+    Fault,
+    release_service,
+    return_cold,
+    scale_out,
+)
+from citronspring.emulator.world import LEAD
 
 if TYPE_CHECKING:
     from citronspring.emulator.world import World
@@ -150,17 +156,7 @@
 
 def scale_out_in_rush(factor: float) -> Load:
     """Return a rush within which a third more targets start."""
-
-    def add(world: World) -> None:
-        for zone in ZONES:
-            for _ in range(world.sizes.desk_per_zone // 3):
-                world.add_target("desk", zone)
-
-    def plan(world: World) -> None:
-        burst(factor)(world)
-        world.clock.at(LEAD + BURST_AT + 0.5, lambda: add(world))
-
-    return plan
+    return befall_in_rush(factor, scale_out, 0.0)
 
 
 def change_configuration(
--- a/citronspring/tokens/copies.py
+++ b/citronspring/tokens/copies.py
@@ -68,7 +68,7 @@
             (*targets, *drains),
             int(found["revision"]),
             float(found["age"]),
-            whole="drains" in found,
+            whole=found.get("format") == FORMAT,
         )
     except UNUSABLE as error:
         return Unanswered(f"a copy that cannot be read: {error!r}")
