--- a/citronspring/events.py
+++ b/citronspring/events.py
@@ -158,7 +158,8 @@
     Level.INFO,
     "An opening was reset at once; it has not run.",
     "no-route: compare the address with the configuration. no-target: look at the "
-    "targets of the service. overloaded: its requests would be late; add targets.",
+    "targets of the service. zone-drained: all of them are in zones that are drained; "
+    "end a drain. overloaded: its requests would be late; add targets.",
 )
 FLOW_RESET = Event(
     602,
@@ -205,6 +206,12 @@
     Level.INFO,
     "A target has started again under its id; the flows it had are over.",
 )
+ZONE_DRAIN_CHANGED = Event(
+    616,
+    "zone-drain-changed",
+    Level.INFO,
+    "Operators drain an availability zone, or use it again.",
+)
 STORE_LOST = Event(
     620,
     "store-lost",
--- a/citronspring/platform/records.py
+++ b/citronspring/platform/records.py
@@ -23,6 +23,10 @@
 #: Beginning of the keys under which hosts register as readers; a zone follows.
 READER_PREFIX = "readers/"
 
+#: Beginning of the keys by which operators ask to empty a zone, whose name follows.
+#: The value says nothing.
+DRAIN_PREFIX = "op/evacuate/"
+
 #: Requests of this kind may run twice.
 IDEMPOTENT_KIND = "idempotent"
 
--- a/citronspring/platform/settings.py
+++ b/citronspring/platform/settings.py
@@ -18,6 +18,10 @@
 #: Seconds in a millisecond; the platform counts in milliseconds.
 MILLISECOND = 0.001
 
+#: Bounds for what changes beside the configuration: that a target leaves, and that a
+#: zone is to be emptied. One watch brings all of it, so that the tightest one counts.
+OTHER_CHANGE_BOUNDS = ("drain_ms", "evacuate_ms")
+
 #: Bytes in a megabit, as links are measured.
 BYTES_OF_MEGABIT = 125_000
 
@@ -86,8 +90,8 @@
         store=address_of(section(table, "platform"), "addr"),
         link_rate=limit_of(table, "link_mbps", 1000.0) * BYTES_OF_MEGABIT,
         processor_share=limit_of(table, "cpu_share", 1.0),
-        # How soon an accepted configuration must be in force.
-        change_bound=number_of(bounds, "config_apply_ms") * MILLISECOND,
+        # How soon whatever operators change must be in force.
+        change_bound=change_bound_of(bounds),
         # How long after a trouble that must hold again.
         settling_time=number_of(bounds, "stable_window_ms") * MILLISECOND,
         # From the signal to stop until the process is killed.
@@ -127,6 +131,13 @@
     return number_of(limits, name)
 
 
+def change_bound_of(bounds: dict[str, Any]) -> float:
+    """Return the seconds within which changes of every kind are in force."""
+    others = [name for name in OTHER_CHANGE_BOUNDS if name in bounds]
+    names = ["config_apply_ms", *others]
+    return min(number_of(bounds, name) for name in names) * MILLISECOND
+
+
 def address_of(table: dict[str, Any], name: str) -> Endpoint:
     """Return a field that holds an IPv4 address and a port."""
     value = text_of(table, name)
--- a/citronspring/platform/store.py
+++ b/citronspring/platform/store.py
@@ -9,6 +9,7 @@
 from citronspring.json_text import loads
 from citronspring.lean import TYPE_CHECKING
 from citronspring.platform.records import (
+    DRAIN_PREFIX,
     READER_PREFIX,
     TARGET_PREFIX,
     UNUSABLE,
@@ -16,7 +17,7 @@
     parse,
     start_of,
 )
-from citronspring.tokens.entries import ReaderRemoved, Removed, Unreadable
+from citronspring.tokens.entries import ReaderRemoved, Removed, Unreadable, ZoneDrain
 from citronspring.tokens.messages import (
     Changes,
     HistoryLost,
@@ -111,8 +112,10 @@
     return Changes(tuple(changes), revision)
 
 
-def decode_removal(key: str, revision: int) -> Removed | ReaderRemoved | None:
+def decode_removal(key: str, revision: int) -> Change | None:
     """Translate the removal of a key; None if it is nothing to a host."""
+    if key.startswith(DRAIN_PREFIX):
+        return decode_drain(key, revision, ended=True)
     if key.startswith(TARGET_PREFIX):
         return Removed(key.removeprefix(TARGET_PREFIX), revision)
     if key.startswith(READER_PREFIX):
@@ -123,6 +126,8 @@
 def decode_item(item: dict[str, Any]) -> Entry | None:
     """Translate an item; one that cannot be read is named with the reason."""
     key, revision = item["key"], int(item["revision"])
+    if key.startswith(DRAIN_PREFIX):
+        return decode_drain(key, revision, ended=False)
     value = b""
     try:
         value = a2b_base64(item["value"])
@@ -132,6 +137,12 @@
         return Unreadable(name, str(error), revision, start_in(value))
 
 
+def decode_drain(key: str, revision: int, *, ended: bool) -> ZoneDrain | None:
+    """Translate that a zone is to be emptied, or may be used again."""
+    zone = key.removeprefix(DRAIN_PREFIX)
+    return ZoneDrain(zone, revision, ended) if zone else None
+
+
 def start_in(value: bytes) -> int | None:
     """Return which start of a target an unreadable value names, None for none."""
     try:
--- a/citronspring/tokens/codec.py
+++ b/citronspring/tokens/codec.py
@@ -13,6 +13,7 @@
     Removed,
     Target,
     Unreadable,
+    ZoneDrain,
     ZoneReader,
 )
 
@@ -22,6 +23,10 @@
     from citronspring.tokens.entries import News
 
 
+#: Release of what hosts tell each other. The second one tells which zones are drained;
+#: who hears from a host of the first must not take its silence for an answer.
+FORMAT = 2
+
 #: What decoding raises when a copy has another shape, as one of another release may.
 UNUSABLE = (AttributeError, IndexError, KeyError, TypeError, ValueError)
 
@@ -88,6 +93,8 @@
             return {"reader": {name: getattr(change, name) for name in names}}
         case ReaderRemoved():
             return {"reader_removed": change.zone, "revision": change.revision}
+        case ZoneDrain():
+            return {"drain": plain_zone_drain(change)}
 
 
 def decode_change(body: dict[str, Any]) -> News:
@@ -114,6 +121,8 @@
         return decode_zone_reader(body["reader"])
     if "reader_removed" in body:
         return ReaderRemoved(str(body["reader_removed"]), int(body["revision"]))
+    if "drain" in body:
+        return decode_zone_drain(body["drain"])
     return Removed(str(body["removed"]), int(body["revision"]))
 
 
@@ -189,6 +198,17 @@
     )
 
 
+def plain_zone_drain(drain: ZoneDrain) -> dict[str, Any]:
+    """Return whether a zone is drained as plain values."""
+    names: tuple[str, ...] = ZoneDrain.__match_args__
+    return {name: getattr(drain, name) for name in names}
+
+
+def decode_zone_drain(body: dict[str, Any]) -> ZoneDrain:
+    """Return whether a zone is drained from plain values."""
+    return ZoneDrain(str(body["zone"]), int(body["revision"]), bool(body["ended"]))
+
+
 def start_of(body: dict[str, Any]) -> int | None:
     """Return which start of a target plain values are of, None if they do not say."""
     started = body.get("started")
--- a/citronspring/tokens/copies.py
+++ b/citronspring/tokens/copies.py
@@ -5,12 +5,15 @@
 from citronspring.json_text import dumps
 from citronspring.lean import TYPE_CHECKING
 from citronspring.tokens.codec import (
+    FORMAT,
     UNUSABLE,
     decode_configuration,
     decode_target,
+    decode_zone_drain,
     pack,
     plain_route,
     plain_target,
+    plain_zone_drain,
     unpack,
 )
 from citronspring.tokens.messages import PeerCopy, Refused, Unanswered
@@ -31,12 +34,14 @@
         return NOTHING_KNOWN, b"no configuration is known here\n"
     rows = [row for row in tables.targets.values() if row.gone_at > now]
     body = {
+        "format": FORMAT,
         "revision": tables.reader.revision,
         "age": max(now - tables.reader.current_at, 0.0),
         "configuration": plain_configuration(tables),
         "targets": [
             plain_target(row.target, max(row.warm_at - now, 0.0)) for row in rows
         ],
+        "drains": [plain_zone_drain(drain) for drain in tables.zone_drains.values()],
     }
     return OK, pack(dumps(body))
 
@@ -56,11 +61,14 @@
         return Refused(status)
     try:
         found = unpack(body)
+        targets = [decode_target(target) for target in found["targets"]]
+        drains = [decode_zone_drain(drain) for drain in found.get("drains", ())]
         return PeerCopy(
             decode_configuration(found["configuration"]),
-            tuple(decode_target(target) for target in found["targets"]),
+            (*targets, *drains),
             int(found["revision"]),
             float(found["age"]),
+            whole="drains" in found,
         )
     except UNUSABLE as error:
         return Unanswered(f"a copy that cannot be read: {error!r}")
--- a/citronspring/tokens/entries.py
+++ b/citronspring/tokens/entries.py
@@ -89,6 +89,17 @@
     revision: int
 
 
+@record(eq=True)
+class ZoneDrain:
+    """Whether operators want nothing new sent to the targets of a zone."""
+
+    zone: str
+    #: Revision of the store at which that last changed.
+    revision: int
+    #: Whether the zone may be used again.
+    ended: bool = False
+
+
 @record
 class Unreadable:
     """An entry that names nothing to use, as another program may have written it."""
@@ -103,9 +114,15 @@
 
 if TYPE_CHECKING:
     #: What an entry of the store holds, and what a change of one brings.
-    Entry = Configuration | Target | ZoneReader | Unreadable
+    Entry = Configuration | Target | ZoneReader | ZoneDrain | Unreadable
     Change = Entry | Removed | ReaderRemoved
     #: The same as hosts hand it on.
     News = (
-        ConfigurationChange | Target | ZoneReader | Unreadable | Removed | ReaderRemoved
+        ConfigurationChange
+        | Target
+        | ZoneReader
+        | ZoneDrain
+        | Unreadable
+        | Removed
+        | ReaderRemoved
     )
--- a/citronspring/tokens/messages.py
+++ b/citronspring/tokens/messages.py
@@ -8,7 +8,7 @@
 if TYPE_CHECKING:
     from citronspring.endpoints import Endpoint
     from citronspring.tokens.entities import Packet
-    from citronspring.tokens.entries import Change, Configuration, Entry, News, Target
+    from citronspring.tokens.entries import Change, Configuration, Entry, News
     from citronspring.tokens.rows import TargetRow
     from citronspring.tokens.suspicions import HostMessage
 
@@ -22,6 +22,7 @@
     NOT_CONFIGURED = "not-configured"
     NOT_CURRENT = "not-current"
     WAITED = "waited"
+    ZONE_DRAINED = "zone-drained"
 
 
 class ResetReason(Choice):
@@ -32,6 +33,7 @@
     TARGET_GONE = "target-gone"
     TARGET_UNREACHABLE = "target-unreachable"
     OVERLOADED = "overloaded"
+    ZONE_DRAINED = "zone-drained"
 
 
 @record
@@ -170,11 +172,15 @@
     """What another host knows."""
 
     configuration: Configuration
-    targets: tuple[Target, ...]
+    #: Targets, and what operators want of zones.
+    entries: tuple[Entry, ...]
     #: Revision of the store that all of it stands at.
     revision: int
     #: Seconds since the peer knew that nothing else had changed.
     age: float
+    #: Whether it holds all kinds of entries; hosts of the first release leave drains
+    #: out.
+    whole: bool
 
 
 @record
--- a/citronspring/tokens/news.py
+++ b/citronspring/tokens/news.py
@@ -6,6 +6,7 @@
 from citronspring.lean import TYPE_CHECKING
 from citronspring.records import record
 from citronspring.tokens.codec import (
+    FORMAT,
     UNUSABLE,
     decode_change,
     pack,
@@ -90,7 +91,10 @@
     confirmed = reader.current_at > poll.asked_at
     if not changes and not confirmed and now < poll.deadline:
         return None
-    head = dumps({"revision": reader.revision, "age": age, "held": now - poll.asked_at})
+    held = now - poll.asked_at
+    head = dumps(
+        {"format": FORMAT, "revision": reader.revision, "age": age, "held": held}
+    )
     listed = ", ".join(text_of(logged) for logged in changes)
     body = pack(f'{head[:-1]}, "changes": [{listed}]}}')
     if not take_allowance(tables.news, len(body) + HEAD_BYTES, now):
@@ -142,6 +146,8 @@
         return Refused(status)
     try:
         found = unpack(body)
+        if found.get("format") != FORMAT:
+            return Unanswered("the reader is of another release")
         return ReaderNews(
             tuple(decode_change(change) for change in found["changes"]),
             int(found["revision"]),
--- a/citronspring/tokens/openings.py
+++ b/citronspring/tokens/openings.py
@@ -15,7 +15,11 @@
     ResetCaller,
     ResetReason,
 )
-from citronspring.tokens.placement import choose_service, choose_target
+from citronspring.tokens.placement import (
+    choose_service,
+    choose_target,
+    only_in_drained_zones,
+)
 
 if TYPE_CHECKING:
     from citronspring.tokens.entities import Packet, Route
@@ -52,15 +56,20 @@
     if flow is not None and flow.first_seq != packet.seq:
         close_flow(tables, packet.flow, flow)
         flow = None
+    drained = flow is not None and tables.is_drained(flow.target.target.zone)
     if flow is not None and flow.open:
         # A copy that was overtaken: its target knows the flow.
-        actions.append(Forward(packet, flow.target))
+        if drained:
+            actions.append(Drop(packet, DropReason.ZONE_DRAINED))
+        else:
+            actions.append(Forward(packet, flow.target))
         return
-    if flow is not None and now - flow.asked_at < OPENING_ANSWER:
+    overdue = flow is not None and now - flow.asked_at >= OPENING_ANSWER
+    if flow is not None and not overdue and not drained:
         # Copies that waited here together: the first has had no time to be answered.
         actions.append(Forward(packet, flow.target))
         return
-    if flow is not None:
+    if flow is not None and overdue:
         note_silence(tables, flow.target, flow.asked_at, now)
     place_opening(tables, packet, route, flow, now, actions)
 
@@ -82,7 +91,7 @@
     target = find_target(tables, service, tried, now)
     if target is None:
         if not tried:
-            refuse_opening(packet, ResetReason.NO_TARGET, actions)
+            refuse_without_target(tables, packet, route, service, now, actions)
         # A target that was tried and leaves since may still answer.
         return
     log_placement(tables, packet, route, target, len(tried), now, actions)
@@ -160,6 +169,29 @@
     actions.append(Log(OPENING_REFUSED.number, fields))
 
 
+def refuse_without_target(
+    tables: Tables,
+    packet: Packet,
+    route: Route,
+    service: str | None,
+    now: float,
+    actions: list[Action],
+) -> None:
+    """Refuse an opening that no target may be given, and say what decided that."""
+    reason = ResetReason.NO_TARGET
+    if service is not None and only_in_drained_zones(tables, service):
+        reason = ResetReason.ZONE_DRAINED
+    refuse_opening(
+        packet,
+        reason,
+        actions,
+        route=route.name,
+        service=service,
+        drained=tables.drained_zones,
+        age=round(now - tables.reader.current_at, 3),
+    )
+
+
 def refuse_overload(
     tables: Tables,
     packet: Packet,
--- a/citronspring/tokens/placement.py
+++ b/citronspring/tokens/placement.py
@@ -54,7 +54,9 @@
     was sent to already only when there is no other.
     """
     placeable = [
-        row for row in tables.by_service.get(service, ()) if not row.target.leaving
+        row
+        for row in tables.by_service.get(service, ())
+        if not row.target.leaving and not tables.is_drained(row.target.zone)
     ]
     if not placeable:
         return None
@@ -63,6 +65,14 @@
     return min(sound, key=lambda row: load_of(tables, row, now))
 
 
+def only_in_drained_zones(tables: Tables, service: str) -> bool:
+    """Whether a service has targets, and none outside of drained zones."""
+    staying = [
+        row for row in tables.by_service.get(service, ()) if not row.target.leaving
+    ]
+    return bool(staying) and all(tables.is_drained(row.target.zone) for row in staying)
+
+
 def rank_of(host_id: str, target_id: str) -> int:
     """Return a target's place among those that are alike to a host.
 
--- a/citronspring/tokens/reader.py
+++ b/citronspring/tokens/reader.py
@@ -232,17 +232,18 @@
     current.
     """
     reader = tables.reader
-    entries: list[Entry] = [copy.configuration, *copy.targets]
+    entries: list[Entry] = [copy.configuration, *copy.entries]
     apply_list(tables, entries, copy.revision, now, actions)
     start_list(tables)
-    reader.listed = True
+    # A watch tells of changes only: what a peer has left out is to be listed.
+    reader.listed = copy.whole
     reader.revision = max(reader.revision, copy.revision)
     begin_news(tables)
     reader.current_at = max(reader.current_at, sent_at - copy.age)
     reader.call_at = now
     fields: dict[str, object] = {
         "configuration": copy.configuration.revision,
-        "targets": len(copy.targets),
+        "entries": len(copy.entries),
         "age": round(copy.age, 3),
     }
     actions.append(Log(COPY_TAKEN.number, fields))
--- a/citronspring/tokens/report.py
+++ b/citronspring/tokens/report.py
@@ -25,6 +25,9 @@
         "leaving": tables.leave_deadline is not None,
         "routes": len(tables.routes),
         "flows": len(tables.flows),
+        "drained_zones": {
+            zone: tables.zone_drains[zone].revision for zone in tables.drained_zones
+        },
         "zones": {
             name: {"suspect_for": seconds(row.suspect_until - now)}
             for name, row in sorted(tables.zones.items())
@@ -72,6 +75,10 @@
     for service in sorted(tables.services):
         delay = known_delay(tables, service, now)
         lines.append(f'{PREFIX}_service_delay_seconds{{service="{service}"}} {delay:g}')
+    lines.append(f"# TYPE {PREFIX}_zone_drained gauge")
+    for zone in sorted(tables.zone_drains):
+        drained = int(tables.is_drained(zone))
+        lines.append(f'{PREFIX}_zone_drained{{zone="{zone}"}} {drained}')
     lines.append(f"# TYPE {PREFIX}_events_total counter")
     for kind, count in sorted(tables.counters.items()):
         lines.append(f'{PREFIX}_events_total{{kind="{kind}"}} {count}')
--- a/citronspring/tokens/revisions.py
+++ b/citronspring/tokens/revisions.py
@@ -9,6 +9,7 @@
     TARGET_REMOVED,
     TARGET_RESTARTED,
     TOKEN_TAKEN,
+    ZONE_DRAIN_CHANGED,
 )
 from citronspring.lean import INFINITY, TYPE_CHECKING
 from citronspring.tokens.entities import token_of
@@ -19,6 +20,7 @@
     Removed,
     Target,
     Unreadable,
+    ZoneDrain,
     ZoneReader,
 )
 from citronspring.tokens.flows import close_flow
@@ -56,6 +58,8 @@
             news = apply_zone_reader(tables, change, actions)
         case ReaderRemoved():
             news = remove_zone_reader(tables, change, actions)
+        case ZoneDrain():
+            news = apply_zone_drain(tables, change, actions)
         case Configuration():
             difference = apply_configuration(tables, change, actions)
             if difference is not None:
@@ -107,6 +111,29 @@
     return True
 
 
+def apply_zone_drain(tables: Tables, drain: ZoneDrain, actions: list[Action]) -> bool:
+    """Take whether a zone is drained; return whether it was news.
+
+    The end of a drain is kept like its beginning: a late answer that still holds the
+    drain would otherwise leave the zone unused for as long as nobody drains it again.
+    """
+    known = tables.zone_drains.get(drain.zone)
+    if known is not None and known.revision >= drain.revision:
+        return False
+    tables.zone_drains[drain.zone] = drain
+    fields: dict[str, object] = {
+        "zone": drain.zone,
+        "drained": not drain.ended,
+        "revision": drain.revision,
+        "targets": sum(
+            row.target.zone == drain.zone and row.gone_at == INFINITY
+            for row in tables.targets.values()
+        ),
+    }
+    actions.append(Log(ZONE_DRAIN_CHANGED.number, fields))
+    return True
+
+
 def apply_target(
     tables: Tables, target: Target, now: float, actions: list[Action]
 ) -> bool:
@@ -297,21 +324,28 @@
         Takes what is to be done.
     """
     listed = set()
-    zones = set()
+    readers = set()
+    drained = set()
     for entry in entries:
         apply_change(tables, entry, now, actions)
         match entry:
             case Target():
                 listed.add(entry.target_id)
             case ZoneReader():
-                zones.add(entry.zone)
+                readers.add(entry.zone)
+            case ZoneDrain():
+                drained.add(entry.zone)
             case Unreadable():
                 listed.add(entry.name)
     for target_id, row in list(tables.targets.items()):
         if target_id not in listed and row.target.revision <= revision:
             apply_change(tables, Removed(target_id, revision), now, actions)
-    for zone in tables.zone_readers.keys() - zones:
+    for zone in tables.zone_readers.keys() - readers:
         apply_change(tables, ReaderRemoved(zone, revision), now, actions)
+    for zone in tables.drained_zones:
+        if zone not in drained:
+            end = ZoneDrain(zone, revision, ended=True)
+            apply_change(tables, end, now, actions)
 
 
 def forget_targets(tables: Tables, now: float) -> None:
--- a/citronspring/tokens/tables.py
+++ b/citronspring/tokens/tables.py
@@ -9,7 +9,7 @@
 
 if TYPE_CHECKING:
     from citronspring.tokens.entities import Route
-    from citronspring.tokens.entries import Entry, News, ZoneReader
+    from citronspring.tokens.entries import Entry, News, ZoneDrain, ZoneReader
     from citronspring.tokens.rows import FlowRow, TargetRow
 
 #: Flows a host keeps a row of; the others are forwarded by their token alone. At
@@ -172,6 +172,8 @@
     reader: ReaderTable = field(default_factory=ReaderTable)
     #: The registered reader of each zone.
     zone_readers: dict[str, ZoneReader] = field(default_factory=dict)
+    #: What operators last wanted of each zone that they have ever drained.
+    zone_drains: dict[str, ZoneDrain] = field(default_factory=dict)
     follow: FollowTable = field(default_factory=FollowTable)
     election: ElectionTable = field(default_factory=ElectionTable)
     news: NewsLog = field(default_factory=NewsLog)
@@ -194,6 +196,17 @@
         """Largest priority number of a route, which is the least urgent one's."""
         return max(self.priorities, default=0)
 
+    @property
+    def drained_zones(self) -> list[str]:
+        """Zones whose targets are to get nothing new."""
+        drains = self.zone_drains.values()
+        return sorted(drain.zone for drain in drains if not drain.ended)
+
+    def is_drained(self, zone: str) -> bool:
+        """Whether the targets of a zone are to get nothing new."""
+        drain = self.zone_drains.get(zone)
+        return drain is not None and not drain.ended
+
     def zone_row(self, zone: str) -> ZoneRow:
         """Return the row of a zone, made when it is first heard of."""
         row = self.zones.get(zone)
--- a/citronspring/trail.py
+++ b/citronspring/trail.py
@@ -18,6 +18,7 @@
     STORE_REGAINED,
     TARGET_CHANGED,
     TARGET_REMOVED,
+    ZONE_DRAIN_CHANGED,
 )
 
 if TYPE_CHECKING:
@@ -39,6 +40,7 @@
         STORE_HISTORY_LOST,
         STORE_LOST,
         STORE_REGAINED,
+        ZONE_DRAIN_CHANGED,
     )
 )
 TARGET_EVENTS = frozenset((TARGET_CHANGED.number, TARGET_REMOVED.number))
--- a/tests/test_platform/test_settings.py
+++ b/tests/test_platform/test_settings.py
@@ -58,6 +58,17 @@
     assert (small.processor_share, small.link_rate) == (0.163, 625_000.0)
 
 
+@pytest.mark.parametrize("name", ["drain_ms", "evacuate_ms"])
+def test_tightest_bound_of_a_change_counts(name):
+    """A zone is to be emptied sooner than a configuration is to be in force.
+
+    Read as late as the other bound allows, it would still be given flows.
+    """
+    settings = decode_settings(changed(f"bounds.{name}", 2000))
+    assert settings.change_bound == 2.0
+    assert decode_settings(changed(f"bounds.{name}", 9000)).change_bound == 3.0
+
+
 @pytest.mark.parametrize(
     ("limits", "name"),
     [({"cpu_share": 0}, "cpu_share"), ({"link_mbps": "fast"}, "link_mbps")],
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -12,7 +12,13 @@
 from citronspring.http_request import HttpRequest
 from citronspring.platform.store import decode_answer, encode_call
 from citronspring.tokens.entities import Share, route_key
-from citronspring.tokens.entries import Configuration, Removed, Target, Unreadable
+from citronspring.tokens.entries import (
+    Configuration,
+    Removed,
+    Target,
+    Unreadable,
+    ZoneDrain,
+)
 from citronspring.tokens.messages import (
     Changes,
     HistoryLost,
@@ -292,3 +298,28 @@
 def test_no_body_ends_the_process(body, call):
     answer = decode_answer(call, 200, json.dumps(body).encode())
     assert isinstance(answer, Page | Changes | Unanswered)
+
+
+def test_request_to_empty_a_zone_is_a_drain():
+    """Its value says nothing; whatever stands there, the zone is to get nothing."""
+    entries = page(item("op/evacuate/north", {}, 12)).entries
+    assert entries == (ZoneDrain("north", 12),)
+
+
+@pytest.mark.parametrize("value", ["", "!", "bm8gSlNPTg==", None, 7])
+def test_value_of_a_drain_does_not_matter(value):
+    broken = {"key": "op/evacuate/north", "value": value, "revision": 12, "lease": 0}
+    assert page(broken).entries == (ZoneDrain("north", 12),)
+
+
+def test_removal_of_the_request_ends_the_drain():
+    body = {
+        "events": [{"key": "op/evacuate/north", "revision": 13, "deleted": True}],
+        "store_revision": 13,
+    }
+    answer = decode_answer(WATCH, 200, json.dumps(body).encode())
+    assert answer.changes == (ZoneDrain("north", 13, ended=True),)
+
+
+def test_drain_of_no_zone_is_nothing():
+    assert page(item("op/evacuate/", {}, 12)).entries == ()
--- /dev/null
+++ b/tests/test_tokens/test_drains.py
@@ -0,0 +1,279 @@
+"""Nothing new goes to the targets of a zone that operators drain."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from citronspring.events import OPENING_REFUSED, ZONE_DRAIN_CHANGED
+from citronspring.tokens.copies import decode_copy
+from citronspring.tokens.entries import ZoneDrain
+from citronspring.tokens.messages import (
+    Changes,
+    Drop,
+    DropReason,
+    Forward,
+    HistoryLost,
+    ListEntries,
+    PeerCopy,
+    ReaderNews,
+    ResetReason,
+    Unanswered,
+    WatchEntries,
+)
+from citronspring.tokens.news import decode_news
+from tests.test_tokens.driver import (
+    ORDERS,
+    Driver,
+    make_configuration,
+    make_target,
+    reason_of,
+    target_of,
+)
+from tests.test_tokens.test_peers import copy_of, started
+from tests.test_tokens.zone import ask, follower, leader, next_call
+
+
+def drain(driver, zone="north"):
+    """Have operators drain a zone."""
+    driver.change(ZoneDrain(zone, driver.revision + 1))
+
+
+def end_drain(driver, zone="north"):
+    driver.change(ZoneDrain(zone, driver.revision + 1, ended=True))
+
+
+def placed(driver, ports, route=ORDERS):
+    """Return the targets that new flows are given to."""
+    return {target_of(driver.caller(port, route).open()) for port in ports}
+
+
+def test_new_flows_go_to_other_zones():
+    """Operators drain the host's own zone, whose targets come first otherwise."""
+    driver = Driver(make_target(1), make_target(2, "south"))
+    drain(driver)
+    assert placed(driver, range(6)) == {"i-2"}
+    end_drain(driver)
+    assert "i-1" in placed(driver, range(6, 12))
+
+
+@pytest.mark.parametrize("zones", [("north", "south"), ("south", "north")])
+def test_several_zones_are_drained_at_once(zones):
+    driver = Driver(make_target(1), make_target(2, "south"), make_target(3, "west"))
+    for zone in zones:
+        drain(driver, zone)
+    assert placed(driver, range(6)) == {"i-3"}
+    end_drain(driver, zones[0])
+    kept = {"north": "i-1", "south": "i-2"}[zones[1]]
+    assert kept not in placed(driver, range(6, 12))
+
+
+def test_zone_is_drained_twice():
+    driver = Driver(make_target(1), make_target(2, "south"))
+    for _ in range(2):
+        drain(driver)
+        assert placed(driver, range(6)) == {"i-2"}
+        end_drain(driver)
+    drain(driver)
+    assert placed(driver, range(6, 12)) == {"i-2"}
+
+
+def test_open_flow_stays_to_its_end():
+    """A drain is planned work: no flow may break for it."""
+    driver = Driver(make_target(1), make_target(2, "south"))
+    caller = driver.caller(1)
+    row = caller.connect()
+    drain(driver, row.target.zone)
+    assert isinstance(caller.ask(), Forward)
+    assert isinstance(caller.take_response(), Forward)
+    driver.wait(3.0)
+    assert isinstance(caller.ask(), Forward)
+    assert isinstance(caller.close(), Forward)
+
+
+def test_flow_that_another_host_placed_goes_on():
+    """Only the token names its target; the host has no row of the flow."""
+    driver = Driver(make_target(1), make_target(2, "south"))
+    drain(driver)
+    caller = driver.caller(1)
+    caller.token = 1
+    assert target_of(caller.ask()) == "i-1"
+
+
+def test_second_try_of_an_opening_goes_elsewhere():
+    """The first target has not answered, and its zone is drained meanwhile."""
+    driver = Driver(make_target(1), make_target(2), make_target(3, "south"))
+    action = driver.caller(1).open()
+    assert action.target.target.zone == "north"
+    drain(driver)
+    again = [one for one in driver.wait(0.1) if isinstance(one, Forward)]
+    assert {target_of(one) for one in again} == {"i-3"}
+
+
+def test_copy_of_an_opening_goes_elsewhere():
+    """The caller sends its opening again, just after its target's zone was drained."""
+    driver = Driver(make_target(1), make_target(3, "south"))
+    caller = driver.caller(1)
+    assert target_of(caller.open()) == "i-1"
+    drain(driver)
+    assert target_of(caller.open()) == "i-3"
+
+
+def test_copy_of_the_opening_of_an_open_flow_is_dropped():
+    """Sent on, it would count as an opening at a target that is to get none."""
+    driver = Driver(make_target(1), make_target(3, "south"))
+    caller = driver.caller(1)
+    first = caller.seq
+    row = caller.connect()
+    assert row.target.zone == "north"
+    drain(driver)
+    caller.seq = first
+    action = caller.open()
+    assert isinstance(action, Drop)
+    assert action.reason is DropReason.ZONE_DRAINED
+
+
+def test_refuses_at_once_what_only_drained_targets_could_take():
+    """A service has targets in a drained zone only; its callers learn so at once."""
+    driver = Driver(make_target(1))
+    drain(driver)
+    assert reason_of(driver.caller(1).open()) is ResetReason.ZONE_DRAINED
+    line = driver.logs[-1]
+    assert line.number == OPENING_REFUSED.number
+    assert line.fields["drained"] == ["north"]
+    assert line.fields["service"] == "previews"
+
+
+def test_service_without_targets_is_told_apart():
+    driver = Driver(make_target(1, leaving=True))
+    drain(driver)
+    assert reason_of(driver.caller(1).open()) is ResetReason.NO_TARGET
+
+
+def test_drain_ends_where_a_list_does_not_hold_it():
+    """The drain ended while history was lost, or the host was cut off."""
+    driver = Driver(make_target(1), make_target(2, "south"))
+    drain(driver)
+    driver.answer(HistoryLost())
+    driver.list_store(
+        make_configuration(), make_target(1), make_target(2, "south"), revision=9
+    )
+    assert "i-1" in placed(driver, range(6))
+
+
+def test_list_keeps_a_drain_that_came_after_its_first_page():
+    driver = Driver(make_target(1), make_target(2, "south"))
+    driver.change(ZoneDrain("north", 8))
+    driver.answer(HistoryLost())
+    driver.list_store(
+        make_configuration(), make_target(1), make_target(2, "south"), revision=7
+    )
+    assert placed(driver, range(6)) == {"i-2"}
+
+
+def test_first_list_brings_drains():
+    """Operators drained the zone before any host ran."""
+    driver = Driver(ZoneDrain("north", 1), make_target(1), make_target(2, "south"))
+    assert placed(driver, range(6)) == {"i-2"}
+
+
+def test_older_news_bring_no_drain_back_and_end_none():
+    driver = Driver(make_target(1), make_target(2, "south"))
+    driver.change(ZoneDrain("north", 5))
+    driver.answer(Changes((ZoneDrain("north", 4, ended=True),), 5))
+    assert placed(driver, range(6)) == {"i-2"}
+    driver.change(ZoneDrain("north", 7, ended=True))
+    driver.answer(Changes((ZoneDrain("north", 5),), 7))
+    assert "i-1" in placed(driver, range(6, 12))
+
+
+def test_host_that_loses_the_store_goes_on_draining():
+    driver = Driver(make_target(1), make_target(2, "south"))
+    drain(driver)
+    for _ in range(5):
+        driver.now = max(driver.now, driver.tables.reader.call_at) + 5.0
+        driver.lose_store()
+    assert placed(driver, range(6)) == {"i-2"}
+
+
+def test_reader_hands_drains_on():
+    reader = leader(make_target(1), make_target(2, "south"))
+    after = reader.tables.reader.revision
+    drain(reader)
+    driver = follower()
+    next_call(driver)
+    driver.answer(ask(reader, after))
+    assert driver.tables.is_drained("north")
+    end_drain(reader)
+    driver.answer(ask(reader, reader.revision - 1))
+    assert not driver.tables.is_drained("north")
+
+
+def test_news_of_a_reader_that_knows_no_drains_are_not_taken():
+    """A reader of an older release leaves drains out; followers read the store."""
+    reader = leader()
+    status, body = reader.core.answer_poll(ask_poll(reader), reader.now)
+    plain = json.loads(body)
+    del plain["format"]
+    assert isinstance(decode_news(status, json.dumps(plain).encode()), Unanswered)
+    assert isinstance(decode_news(status, body), ReaderNews)
+
+
+def ask_poll(driver):
+    from citronspring.tokens.news import Poll
+
+    return Poll(driver.tables.reader.revision, driver.now, driver.now)
+
+
+def test_copies_hold_drains():
+    """All hosts start anew while the store is away; a peer still knows."""
+    peer = Driver(make_target(1), make_target(2, "south"))
+    drain(peer)
+    driver = started(Driver(make_target(1)))
+    driver.answer(copy_of(peer))
+    assert placed(driver, range(6)) == {"i-2"}
+
+
+def test_copy_of_a_host_that_knows_no_drains_is_no_end_of_reading():
+    """A peer of an older release has given a copy, which says nothing of drains.
+
+    The watch that follows would tell of changes only, and the host would place flows
+    in a zone that was drained before, for as long as that lasts.
+    """
+    peer = Driver(make_target(1), make_target(2, "south"))
+    status, body = peer.core.copy(peer.now)
+    plain = json.loads(body)
+    del plain["format"], plain["drains"]
+    copy = decode_copy(status, json.dumps(plain).encode())
+    assert isinstance(copy, PeerCopy)
+    driver = started(Driver(make_target(1)))
+    driver.answer(copy)
+    assert driver.core.ready
+    call = next_call(driver)
+    assert call == ListEntries()
+
+
+def test_host_goes_on_from_a_whole_copy():
+    peer = Driver(make_target(1))
+    driver = started(Driver(make_target(1)))
+    driver.answer(copy_of(peer))
+    assert isinstance(next_call(driver), WatchEntries)
+
+
+def test_log_state_and_metrics_tell():
+    driver = Driver(make_target(1), make_target(2, "south"))
+    drain(driver)
+    assert driver.logs[-1].number == ZONE_DRAIN_CHANGED.number
+    assert driver.logs[-1].fields["zone"] == "north"
+    assert driver.logs[-1].fields["drained"] is True
+    dump = driver.core.dump(driver.now)
+    assert dump["drained_zones"] == {"north": 2}
+    assert 'citronspring_zone_drained{zone="north"} 1' in driver.core.metrics(
+        driver.now
+    )
+    end_drain(driver)
+    assert driver.core.dump(driver.now)["drained_zones"] == {}
+    assert 'citronspring_zone_drained{zone="north"} 0' in driver.core.metrics(
+        driver.now
+    )
