--- /dev/null
+++ b/citronspring/tokens/load/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the token mode under load: observe, share, decide."""
--- /dev/null
+++ b/tests/test_tokens/test_load/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the decisions under load."""
