Release the port range of a stand-in system after its sockets

Cause: the reservation was closed when the task group was cancelled, while the fabric's and callers' sockets were still bound. Change: the reservation is closed last; sockets that were never started are closed too.

--- a/citronspring/standins/loopback.py
+++ b/citronspring/standins/loopback.py
@@ -36,6 +36,9 @@
 RESERVED_IP = "127.0.3.5"
 FIRST_PORT_CANDIDATES = range(20_000, 30_000, 100)
 
+#: Seconds in which the tasks of a system that ends close their sockets.
+RELEASE_DELAY = 0.05
+
 #: Offset of the last port of a range, on which targets terminate their tunnels.
 TUNNEL_OFFSET = 99
 
@@ -50,12 +53,6 @@
     raise SettingsError("no free ports on loopback", "stop other stand-in systems")
 
 
-async def hold_ports(reserved: socket.socket) -> None:
-    """Keep a range of ports reserved until the task group ends."""
-    with reserved:
-        await anyio.sleep_forever()
-
-
 @dataclass(slots=True)
 class Loopback:
     """Fabric, callers, targets and hosts as tasks of one task group."""
@@ -76,7 +73,7 @@
         self.reserved = reserve_ports()
         # Reserved before anything starts: hosts may be started before, or without, the
         # fabric, and another system on the machine would otherwise take their ports.
-        self.group.start_soon(hold_ports, self.reserved)
+        self.group.start_soon(self.hold_ports)
         first_port = self.reserved.getsockname()[1]
         self.tunnel_port = first_port + TUNNEL_OFFSET
         self.ports = itertools.count(first_port)
@@ -92,6 +89,20 @@
     reserved: socket.socket = field(init=False)
     tunnel_port: int = field(init=False)
 
+    async def hold_ports(self) -> None:
+        """Keep the range of ports reserved until all sockets in it are closed.
+
+        Another system that took the range before that could not start.
+        """
+        try:
+            await anyio.sleep_forever()
+        finally:
+            with anyio.CancelScope(shield=True):
+                await anyio.sleep(RELEASE_DELAY)
+            self.fabric.close()
+            self.caller.close()
+            self.reserved.close()
+
     async def start(self) -> None:
         """Start the fabric and the callers."""
         await self.group.start(self.fabric.run)
--- a/tests/test_daemons/test_control.py
+++ b/tests/test_daemons/test_control.py
@@ -14,6 +14,7 @@
 from citronspring.daemons.control import LOOPBACK_KEY, read_keys, wall_clock
 from citronspring.daemons.host import HostDaemon
 from citronspring.daemons.reader import CONFIRM_INTERVAL, PlatformReader
+from citronspring.daemons.sockets import bind_udp
 from citronspring.entities import HostState, Snapshot
 from citronspring.errors import SettingsError
 from citronspring.messages import RecordsRead, SnapshotRead
@@ -218,3 +219,14 @@
             ports.add(daemon.settings.host.tunnel.port)
         assert len(ports) == 2
         group.cancel_scope.cancel()
+
+
+async def test_port_range_is_released_after_the_sockets_in_it():
+    """A system that takes a released range cannot bind an address of the former one."""
+    async with anyio.create_task_group() as group:
+        system = Loopback(group, random.Random(1), ZONES)
+        await anyio.wait_all_tasks_blocked()
+        group.cancel_scope.cancel()
+    assert system.reserved.fileno() == -1
+    with bind_udp(system.gateway):
+        pass
