Refuse openings for which the host's own link has no room

A host with a link of 5 Mbit/s accepted uploads of 40 KB without limit. Packets of all flows queued on its link, short requests failed, and what was lost there looked like dead targets.

The host counts the bytes on its link and learns request sizes by route. It refuses an upload (reason host-busy) if the expected bytes of open uploads take more than half of its objective, or their windows more than a quarter of the shortest objective among routes at least as urgent. While the link is nearly full, missing answers are no evidence against targets. Without link_mbps in the settings nothing changes.

--- a/citronspring/daemons/token_host.py
+++ b/citronspring/daemons/token_host.py
@@ -54,6 +54,9 @@
 #: Largest datagram read in bytes; larger ones are not valid packets.
 MAX_DATAGRAM = 2048
 
+#: Bytes of the IP and UDP headers of a datagram on the link.
+DATAGRAM_HEADER = 28
+
 #: Requested kernel receive buffer in bytes; holds what arrives while the process cannot
 #: run.
 RECEIVE_BUFFER = 1 << 20
@@ -75,13 +78,6 @@
 MAX_SLEEP = 0.1
 
 
-def reader_times(settings: HostSettings) -> ReaderTimes:
-    """Return the timeouts of calls for the given settings."""
-    return ReaderTimes.from_bounds(
-        settings.change_bound, settings.settling_time, settings.link_rate
-    )
-
-
 class TokenHost:
     """A host in token mode.
 
@@ -107,9 +103,12 @@
         self.encode = adapter.encode_for_target
         self.started_at = boot_clock()
         self.core = TokenBalancer.from_config(
-            settings.host_id, settings.zone, reader_times(settings), len(settings.peers)
+            settings.host_id,
+            settings.zone,
+            ReaderTimes.from_settings(settings),
+            len(settings.peers),
         )
-        self.limit_follower_rate(settings)
+        self.apply_link_rate(settings)
         # The first iteration lasts until packets are read: packets queued since the
         # start for longer than a stall are too old to be placed.
         self.core.begin_iteration(self.started_at)
@@ -142,9 +141,10 @@
         self.settings_version = adapter.settings_version()
         self.settings_check_at = self.started_at + SETTINGS_INTERVAL
 
-    def limit_follower_rate(self, settings: HostSettings) -> None:
-        """Limit the share of the host's link that followers may use."""
+    def apply_link_rate(self, settings: HostSettings) -> None:
+        """Limit what followers and new flows may use of the host's link."""
         self.core.tables.change_log.rate = LINK_SHARE * settings.link_rate
+        self.core.set_link_limit(settings.link_limit, boot_clock())
 
     def bind(self, endpoint: Endpoint) -> Socket:
         """Return a non-blocking UDP socket bound to an endpoint."""
@@ -231,6 +231,7 @@
 
     def handle_datagram(self, data: bytes, now: float) -> None:
         """Decode a datagram and pass it to the core."""
+        self.core.tables.link_usage.received += len(data) + DATAGRAM_HEADER
         try:
             packet = self.decode_packet(data)
         except MalformedPacketError as error:
@@ -288,6 +289,7 @@
 
     def send(self, data: bytes, address: tuple[str, int]) -> None:
         """Send a datagram; if the kernel rejects it, it is lost as on any link."""
+        self.core.tables.link_usage.sent += len(data) + DATAGRAM_HEADER
         try:
             self.packets.sendto(data, address)
         except OSError:
@@ -389,8 +391,8 @@
         self.write(SETTINGS_READ.number, {"changed": changed})
         self.settings = settings
         self.calls.apply_settings(settings)
-        self.limit_follower_rate(settings)
-        self.core.times = reader_times(settings)
+        self.apply_link_rate(settings)
+        self.core.times = ReaderTimes.from_settings(settings)
 
     def on_dump(self, number: int, frame: object) -> None:
         """Log a dump of the state on SIGUSR1."""
--- a/citronspring/events.py
+++ b/citronspring/events.py
@@ -170,7 +170,8 @@
     "no-route: compare the address with the configuration. no-target: check the "
     "targets of the service. zone-drained: all of them are in drained zones; "
     "end a drain. overloaded: its requests would miss their latency objective; "
-    "add targets.",
+    "add targets. host-busy: the host's own link has no room for it; add hosts or "
+    "give them larger links.",
 )
 FLOW_RESET = Event(
     602,
@@ -335,6 +336,14 @@
     "other targets.",
     "Check the target and its link; its entry still exists.",
 )
+LINK_STATE_CHANGED = Event(
+    660,
+    "link-state-changed",
+    Level.INFO,
+    "The host's own link has become nearly full, or is no longer. While it is, missing "
+    "answers are no evidence against targets.",
+    "If it is often full, give the host a larger link or add hosts.",
+)
 LINES_LEFT_OUT = Event(
     690,
     "lines-left-out",
--- a/citronspring/host_settings.py
+++ b/citronspring/host_settings.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from citronspring.light_stdlib import TYPE_CHECKING
+from citronspring.light_stdlib import INFINITY, TYPE_CHECKING
 from citronspring.records import record
 
 if TYPE_CHECKING:
@@ -38,3 +38,6 @@
     settling_time: float
     #: Seconds from the stop signal until the process is killed.
     stop_grace: float
+    #: ``link_rate`` if the settings give it, otherwise infinite: openings are refused
+    #: for lack of room on the link only where its capacity is known.
+    link_limit: float = INFINITY
--- a/citronspring/platform/settings.py
+++ b/citronspring/platform/settings.py
@@ -6,7 +6,7 @@
 from citronspring.errors import SettingsError
 from citronspring.host_settings import HostSettings
 from citronspring.json_text import loads
-from citronspring.light_stdlib import TYPE_CHECKING, getenv, stat
+from citronspring.light_stdlib import INFINITY, TYPE_CHECKING, getenv, stat
 from citronspring.platform.addresses import parse_endpoint, parse_port
 
 if TYPE_CHECKING:
@@ -98,6 +98,7 @@
         settling_time=positive_field(bounds, "stable_window_ms") * MILLISECOND,
         # Time from the stop signal until the process is killed.
         stop_grace=positive_field(bounds, "grace_s"),
+        link_limit=limit_field(table, "link_mbps", INFINITY) * BYTES_PER_MEGABIT,
     )
 
 
--- a/citronspring/tokens/balancer.py
+++ b/citronspring/tokens/balancer.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from citronspring.events import LEAVING
-from citronspring.light_stdlib import TYPE_CHECKING
+from citronspring.light_stdlib import INFINITY, TYPE_CHECKING
 from citronspring.tokens.change_feed import answer_poll
 from citronspring.tokens.election import (
     handle_election_answer,
@@ -54,6 +54,9 @@
 #: Seconds without a packet after which a leaving host counts as out of rotation.
 QUIET_SECONDS = 0.4
 
+#: Seconds after the link's capacity becomes known until its usage is sampled.
+LINK_SAMPLE_DELAY = 0.1
+
 #: Stall of the process, in seconds, after which queued openings are too old to be
 #: placed: after 200 ms a caller retransmits its opening, which may open the flow
 #: through another host. This is twice the longest pause of a processor whose CPU quota
@@ -124,6 +127,11 @@
             tables.counters["pauses"] += 1
             note_disturbance(tables.local_path, now)
         tables.iteration_started_at = now
+        if now >= tables.link_usage.sample_at and tables.link_rate < INFINITY:
+            # Imported on first use: the first sample is taken after the start.
+            from citronspring.tokens.load.link_usage import sample_link
+
+            sample_link(tables, now)
         return stalled
 
     def receive(self, packet: Packet, now: float) -> list[Action]:
@@ -133,6 +141,17 @@
         receive_packet(self.tables, packet, current, now, actions)
         return actions
 
+    def set_link_limit(self, rate: float, now: float) -> None:
+        """Set the capacity of the host's link in bytes per second, infinite for none.
+
+        The first sample of its usage is taken later, after a start.
+        """
+        tables = self.tables
+        tables.link_rate = rate
+        tables.link_usage.sample_at = now + LINK_SAMPLE_DELAY
+        if rate == INFINITY:
+            tables.link_usage.full = False
+
     def note_failed_send(self, now: float) -> None:
         """Record that sending a datagram failed."""
         self.tables.counters["send-errors"] += 1
@@ -204,6 +223,10 @@
                 place_opening(tables, flow.opening, route, flow, now, actions)
         report_suspicions(tables, now, actions)
         advance_inquiry(tables, now, actions)
+        if tables.link_usage.full != tables.link_usage.logged_full:
+            from citronspring.tokens.load.link_usage import log_link_state
+
+            log_link_state(tables, now, actions)
         if now >= tables.sweep_at:
             tables.sweep_at = now + SWEEP_INTERVAL
             expire_flows(tables, now)
--- a/citronspring/tokens/evidence.py
+++ b/citronspring/tokens/evidence.py
@@ -105,7 +105,10 @@
 
 def note_timeout(tables: Tables, row: TargetRow, sent_at: float, now: float) -> None:
     """Record that an opening or request sent at ``sent_at`` has timed out."""
-    if sent_at < row.answered_at:
+    link = tables.link_usage
+    if sent_at < row.answered_at or link.full or sent_at <= link.full_at:
+        # What was sent while the host's own link was nearly full may have been lost or
+        # delayed there.
         return
     row.unanswered_since = min(row.unanswered_since, sent_at)
     row.timeouts += 1
--- a/citronspring/tokens/flows.py
+++ b/citronspring/tokens/flows.py
@@ -64,9 +64,53 @@
         count_load(flow.target, busy=-1)
 
 
+def expect_request(tables: Tables, key: bytes, flow: FlowRow, now: float) -> None:
+    """Expect the usual bytes of a request on a flow, if it is an upload.
+
+    The modules of this and the next functions are imported on first use: a starting
+    host needs neither for its first packets.
+    """
+    row = tables.request_sizes.get(flow.route)
+    if row is not None and row.upload_size:
+        from citronspring.tokens.load.host_capacity import expect_upload
+
+        expect_upload(tables, key, flow, row.upload_size, now)
+
+
+def count_request_bytes(
+    tables: Tables, key: bytes, flow: FlowRow, size: int, now: float
+) -> None:
+    """Count new bytes of a request; expect the rest of it if it starts now."""
+    if not flow.request_bytes and not flow.upload_bytes:
+        expect_request(tables, key, flow, now)
+    flow.request_bytes += size
+    if flow.upload_bytes:
+        from citronspring.tokens.load.host_capacity import note_upload_bytes
+
+        note_upload_bytes(tables, flow, size, now)
+
+
+def finish_request(tables: Tables, flow: FlowRow) -> None:
+    """Learn the size of a request that has been answered."""
+    from citronspring.tokens.load.request_sizes import note_request_size
+
+    note_request_size(tables.request_size_row(flow.route), flow.request_bytes)
+    flow.request_bytes = 0
+    drop_expected_upload(tables, flow)
+
+
+def drop_expected_upload(tables: Tables, flow: FlowRow) -> None:
+    """Expect no more bytes of a flow's upload, if it has one."""
+    if flow.upload_bytes:
+        from citronspring.tokens.load.host_capacity import release_upload
+
+        release_upload(tables, flow)
+
+
 def close_flow(tables: Tables, key: bytes, flow: FlowRow) -> None:
     """Remove the row of a flow."""
     end_request(flow)
+    drop_expected_upload(tables, flow)
     count_load(flow.target, flows=-1)
     del tables.flows[key]
 
--- a/citronspring/tokens/forwarding.py
+++ b/citronspring/tokens/forwarding.py
@@ -14,7 +14,9 @@
 )
 from citronspring.tokens.flows import (
     close_flow,
+    count_request_bytes,
     end_request,
+    finish_request,
     start_flow,
     start_request,
     touch_flow,
@@ -179,10 +181,15 @@
             note_time_to_answer(service, now - flow.first_sent_at, now)
         note_answer(tables, flow.target, flow.first_sent_at, now)
         end_request(flow)
+        if flow.request_bytes:
+            finish_request(tables, flow)
     if not packet.length:
         return
     end = (packet.seq + packet.length) & SEQ_MASK
-    if 0 < (end - flow.next_seq) & SEQ_MASK < SEQ_HALF:
+    new_bytes = (end - flow.next_seq) & SEQ_MASK
+    if 0 < new_bytes < SEQ_HALF:
+        if tables.link_rate < INFINITY:
+            count_request_bytes(tables, packet.flow, flow, new_bytes, now)
         flow.next_seq = end
         start_request(flow, now)
     elif flow.busy and now - flow.sent_at >= RETRANSMISSION_GAP:
--- a/citronspring/tokens/introspection.py
+++ b/citronspring/tokens/introspection.py
@@ -7,6 +7,11 @@
 from citronspring.light_stdlib import INFINITY
 from citronspring.tokens.admission import current_delay
 from citronspring.tokens.entries import count_of, epoch_of
+from citronspring.tokens.load.link_usage import (
+    USAGE_WINDOW,
+    describe_link,
+    utilization,
+)
 
 if TYPE_CHECKING:
     from citronspring.tokens.tables import Tables
@@ -54,6 +59,19 @@
             name: {"delay": seconds(current_delay(tables, name, now))}
             for name in sorted(tables.services)
         },
+        "link": {
+            **describe_link(tables, now),
+            "full": tables.link_usage.full,
+            "received": tables.link_usage.received,
+            "sent": tables.link_usage.sent,
+            "uploads": tables.uploads.remaining,
+            "in_flight": tables.uploads.in_flight,
+        },
+        "request_sizes": {
+            tables.routes[key].name: round(row.mean)
+            for key, row in sorted(tables.request_sizes.items())
+            if key in tables.routes
+        },
         "counters": dict(sorted(tables.counters.items())),
     }
 
@@ -63,6 +81,11 @@
     return round(value, 3) if 0 < value < INFINITY else None
 
 
+def link_utilization(tables: Tables, now: float) -> float:
+    """Return the utilization of the host's link in the last second."""
+    return utilization(tables.link_usage, tables.link_rate, USAGE_WINDOW, now)
+
+
 def metrics_text(tables: Tables, now: float) -> str:
     """Return counters, gauges and histograms in the Prometheus text format."""
     gauges = {
@@ -71,6 +94,8 @@
         "store_failures": tables.reader.failures,
         "flows": len(tables.flows),
         "targets": len(tables.targets),
+        "link_utilization": link_utilization(tables, now),
+        "expected_upload_bytes": tables.uploads.remaining,
     }
     lines = []
     for name, value in gauges.items():
@@ -84,6 +109,10 @@
     for zone in sorted(tables.zone_drains):
         drained = int(tables.is_drained(zone))
         lines.append(f'{PREFIX}_zone_drained{{zone="{zone}"}} {drained}')
+    lines.append(f"# TYPE {PREFIX}_link_bytes_total counter")
+    for direction in ("received", "sent"):
+        count = getattr(tables.link_usage, direction)
+        lines.append(f'{PREFIX}_link_bytes_total{{direction="{direction}"}} {count}')
     lines.append(f"# TYPE {PREFIX}_events_total counter")
     for kind, count in sorted(tables.counters.items()):
         lines.append(f'{PREFIX}_events_total{{kind="{kind}"}} {count}')
--- /dev/null
+++ b/citronspring/tokens/load/host_capacity.py
@@ -0,0 +1,150 @@
+"""Admission of new flows by the host's own link.
+
+Load pattern: more uploads than the link of a small host carries. Their packets arrive
+at the pace of the callers' windows, so the windows of concurrent uploads add up to the
+queue on the link, in which the packets of all other flows wait. Refusing uploads before
+that queue is long keeps short and urgent requests in time. A refused caller retries
+through another host, most likely with a free link.
+
+Bytes of answers do not pass through the host.
+"""
+
+from __future__ import annotations
+
+from citronspring.light_stdlib import INFINITY, TYPE_CHECKING, heappop, heappush
+from citronspring.tokens.load.link_usage import FULL, SHORT_WINDOW, utilization
+
+if TYPE_CHECKING:
+    from citronspring.tokens.entities import Route
+    from citronspring.tokens.rows import FlowRow
+    from citronspring.tokens.tables import Tables
+
+#: Ratio of bytes on the link to bytes of payload: some 70 bytes of headers accompany
+#: each 1,200.
+HEADER_FACTOR = 1.06
+
+#: Largest number of bytes of a flow in flight: 16 packets of 1,200 bytes.
+MAX_IN_FLIGHT = 16 * 1200
+
+#: Seconds without a byte after which an upload counts as abandoned.
+UPLOAD_TIMEOUT = 2.0
+
+#: Largest share of an upload's own objective that the expected bytes may take on the
+#: link; the rest is for the target, and for the caller's retry elsewhere.
+TIME_SHARE = 0.5
+
+#: Largest share of the shortest objective that the queue of the flows in flight may
+#: take. Several packets of a short request wait in it one after the other.
+QUEUE_SHARE = 0.25
+
+#: Added to both shares for each step of priority, up to the whole objective.
+PRIORITY_STEP = 0.25
+MAX_SHARE = 1.0
+
+
+# Expected bytes of open uploads ------------------------------------------------
+
+
+def expect_upload(
+    tables: Tables, key: bytes, flow: FlowRow, size: int, now: float
+) -> None:
+    """Expect the bytes of an upload on a flow."""
+    set_upload_bytes(tables, flow, size)
+    flow.upload_deadline = now + UPLOAD_TIMEOUT
+    heappush(tables.uploads.deadlines, (flow.upload_deadline, key))
+
+
+def note_upload_bytes(tables: Tables, flow: FlowRow, size: int, now: float) -> None:
+    """Record that new bytes of an upload have arrived."""
+    set_upload_bytes(tables, flow, max(flow.upload_bytes - size, 0))
+    flow.upload_deadline = now + UPLOAD_TIMEOUT
+
+
+def release_upload(tables: Tables, flow: FlowRow) -> None:
+    """Expect no more bytes of a flow that has ended, or of an answered request."""
+    set_upload_bytes(tables, flow, 0)
+
+
+def set_upload_bytes(tables: Tables, flow: FlowRow, size: int) -> None:
+    """Set the remaining bytes of a flow, and update the sums over all flows."""
+    uploads = tables.uploads
+    before = flow.upload_bytes
+    uploads.remaining += size - before
+    uploads.in_flight += min(size, MAX_IN_FLIGHT) - min(before, MAX_IN_FLIGHT)
+    flow.upload_bytes = size
+
+
+def release_abandoned_uploads(tables: Tables, now: float) -> None:
+    """Expect no more bytes of flows that have sent none for a while."""
+    deadlines = tables.uploads.deadlines
+    while deadlines and deadlines[0][0] <= now:
+        _, key = heappop(deadlines)
+        flow = tables.flows.get(key)
+        if flow is None or not flow.upload_bytes:
+            continue
+        if flow.upload_deadline > now:
+            heappush(deadlines, (flow.upload_deadline, key))
+        else:
+            release_upload(tables, flow)
+
+
+# Decision ------------------------------------------------------------------------
+
+
+def link_admits(tables: Tables, route: Route, delay: float, now: float) -> bool:
+    """Return whether a new flow of a route fits the host's link.
+
+    Parameters
+    ----------
+    tables : Tables
+        All state.
+    route : Route
+        The route of the opening.
+    delay : float
+        Current response time of its service in seconds, 0 if unknown.
+    now : float
+        Current time in seconds.
+    """
+    release_abandoned_uploads(tables, now)
+    queue = link_seconds(tables, tables.uploads.in_flight)
+    recent = utilization(tables.link_usage, tables.link_rate, SHORT_WINDOW, now)
+    if recent > FULL and queue + delay > route.objective:
+        return False
+    size = expected_size(tables, route)
+    return not size or upload_fits(tables, route, size)
+
+
+def upload_fits(tables: Tables, route: Route, size: int) -> bool:
+    """Return whether an upload leaves the queue on the link short enough.
+
+    A single upload is always admitted, as the link is free.
+    """
+    uploads = tables.uploads
+    if not uploads.remaining:
+        return True
+    steps = max(tables.lowest_priority - route.priority, 0)
+    time_share = min(TIME_SHARE + steps * PRIORITY_STEP, MAX_SHARE)
+    queue_share = min(QUEUE_SHARE + steps * PRIORITY_STEP, MAX_SHARE)
+    time = link_seconds(tables, uploads.remaining + size)
+    queue = link_seconds(tables, uploads.in_flight + min(size, MAX_IN_FLIGHT))
+    return time <= time_share * route.objective and (
+        queue <= queue_share * shortest_objective(tables, route.priority)
+    )
+
+
+def expected_size(tables: Tables, route: Route) -> int:
+    """Return the usual bytes of a route's uploads, 0 if its requests are short."""
+    row = tables.request_sizes.get(route.key)
+    return row.upload_size if row is not None else 0
+
+
+def link_seconds(tables: Tables, size: int) -> float:
+    """Return the time that bytes of payload take on the link."""
+    return size * HEADER_FACTOR / tables.link_rate
+
+
+def shortest_objective(tables: Tables, priority: int) -> float:
+    """Return the shortest objective among routes at least as urgent."""
+    objectives = tables.objectives
+    found = [seconds for urgency, seconds in objectives if urgency <= priority]
+    return min(found, default=INFINITY)
--- a/citronspring/tokens/messages.py
+++ b/citronspring/tokens/messages.py
@@ -33,6 +33,7 @@
     TARGET_GONE = "target-gone"
     TARGET_UNREACHABLE = "target-unreachable"
     OVERLOADED = "overloaded"
+    HOST_BUSY = "host-busy"
     ZONE_DRAINED = "zone-drained"
 
 
--- a/citronspring/tokens/openings.py
+++ b/citronspring/tokens/openings.py
@@ -3,10 +3,15 @@
 from __future__ import annotations
 
 from citronspring.events import OPENING_PLACED, OPENING_REFUSED
-from citronspring.light_stdlib import TYPE_CHECKING, heappop, heappush
+from citronspring.light_stdlib import (
+    INFINITY,
+    TYPE_CHECKING,
+    heappop,
+    heappush,
+)
 from citronspring.tokens.admission import current_delay, is_admitted
 from citronspring.tokens.evidence import note_timeout
-from citronspring.tokens.flows import close_flow, start_flow
+from citronspring.tokens.flows import close_flow, expect_request, start_flow
 from citronspring.tokens.messages import (
     Drop,
     DropReason,
@@ -105,6 +110,9 @@
     if flow is None and not passes_admission(tables, packet, route, service, now):
         refuse_overload(tables, packet, route, service, now, actions)
         return
+    if flow is None and not passes_host_capacity(tables, packet, route, service, now):
+        refuse_host_busy(tables, packet, route, service, now, actions)
+        return
     target = find_target(tables, service, tried, now)
     if target is None:
         if not tried:
@@ -114,6 +122,8 @@
     log_placement(tables, packet, route, target, len(tried), now, actions)
     if flow is None:
         flow = start_flow(tables, packet, route, target, now)
+        if flow is not None:
+            expect_request(tables, packet.flow, flow, now)
     else:
         move_flow(flow, target)
     if flow is not None:
@@ -135,6 +145,21 @@
     return is_admitted(tables, packet, route, service, now)
 
 
+def passes_host_capacity(
+    tables: Tables, packet: Packet, route: Route, service: str | None, now: float
+) -> bool:
+    """Return whether this host's own link has room for an opening.
+
+    As in `passes_admission`, a retransmission is always admitted.
+    """
+    if service is None or packet.ack or tables.link_rate == INFINITY:
+        return True
+    # Imported on first use: a starting host does not need it for its first packets.
+    from citronspring.tokens.load.host_capacity import link_admits
+
+    return link_admits(tables, route, current_delay(tables, service, now), now)
+
+
 def find_target(
     tables: Tables, service: str | None, tried: list[TargetRow], now: float
 ) -> TargetRow | None:
@@ -232,6 +257,34 @@
     )
 
 
+def refuse_host_busy(
+    tables: Tables,
+    packet: Packet,
+    route: Route,
+    service: str | None,
+    now: float,
+    actions: list[Action],
+) -> None:
+    """Refuse an opening for which the host's link has no room, and log the cause."""
+    from citronspring.tokens.load.host_capacity import expected_size
+    from citronspring.tokens.load.link_usage import describe_link
+
+    refuse_opening(
+        packet,
+        ResetReason.HOST_BUSY,
+        actions,
+        route=route.name,
+        service=service,
+        usual_size=expected_size(tables, route),
+        expected_bytes=tables.uploads.remaining,
+        in_flight=tables.uploads.in_flight,
+        **describe_link(tables, now),
+        objective=route.objective,
+        priority=route.priority,
+        configuration=tables.configuration,
+    )
+
+
 def await_opening_answer(
     tables: Tables, packet: Packet, flow: FlowRow, now: float
 ) -> None:
--- a/citronspring/tokens/routes.py
+++ b/citronspring/tokens/routes.py
@@ -57,6 +57,7 @@
     if route is not None:
         del tables.route_services[key]
         tables.answers.pop(key, None)
+        tables.request_sizes.pop(key, None)
         count_priority(tables, route, -1)
 
 
@@ -72,10 +73,14 @@
 
 
 def count_priority(tables: Tables, route: Route, step: int) -> None:
-    """Count a route under its priority; drop a priority without routes."""
+    """Count a route under its priority and objective; drop those without routes."""
     tables.priorities[route.priority] += step
     if not tables.priorities[route.priority]:
         del tables.priorities[route.priority]
+    pair = (route.priority, route.objective)
+    tables.objectives[pair] += step
+    if not tables.objectives[pair]:
+        del tables.objectives[pair]
 
 
 def diff_configuration(
--- a/citronspring/tokens/rows.py
+++ b/citronspring/tokens/rows.py
@@ -92,6 +92,54 @@
     seen_at: float = 0.0
 
 
+@record
+class RequestSizeRow:
+    """Request sizes of a route, as measured by this host."""
+
+    #: Decayed mean of the bytes of a request, and number of requests.
+    mean: float = 0.0
+    requests: int = 0
+    #: Usual bytes of a request if it is an upload; 0 for short or unlearned ones.
+    upload_size: int = 0
+
+
+@record
+class LinkSample:
+    """Total bytes that the host had received and sent at some time."""
+
+    at: float
+    received: int
+    sent: int
+
+
+@record
+class LinkUsage:
+    """Bytes on the host's own link; the directions are separate."""
+
+    received: int = 0
+    sent: int = 0
+    samples: deque[LinkSample] = field(default_factory=deque)
+    #: When the next sample is due.
+    sample_at: float = -INFINITY
+    #: Whether the link was nearly full at the last sample, and when it last was.
+    full: bool = False
+    full_at: float = -INFINITY
+    #: Value of ``full`` that was logged last.
+    logged_full: bool = False
+
+
+@record
+class OpenUploads:
+    """Bytes that open uploads are still expected to send."""
+
+    #: Expected remaining bytes of all open uploads.
+    remaining: int = 0
+    #: Part of them that may be in flight at once, limited by the callers' windows.
+    in_flight: int = 0
+    #: Heap of deadlines by which more bytes must arrive, as (time, flow).
+    deadlines: list[tuple[float, bytes]] = field(default_factory=list)
+
+
 @record
 class FlowRow:
     """A flow whose packets pass through this host; forwarding does not require it."""
@@ -120,6 +168,12 @@
     tried: list[TargetRow] = field(default_factory=list)
     #: The opening itself, while it may have to be sent to another target.
     opening: Packet | None = None
+    #: Bytes of the current request that have arrived.
+    request_bytes: int = 0
+    #: Bytes that its upload is still expected to send, and time by which more of them
+    #: must arrive.
+    upload_bytes: int = 0
+    upload_deadline: float = 0.0
 
 
 @record
--- a/citronspring/tokens/tables.py
+++ b/citronspring/tokens/tables.py
@@ -5,7 +5,15 @@
 from citronspring.histogram import Histogram
 from citronspring.light_stdlib import INFINITY, TYPE_CHECKING, Counter, deque
 from citronspring.records import field, record
-from citronspring.tokens.rows import AnswerRow, LocalPath, ServiceRow, ZoneRow
+from citronspring.tokens.rows import (
+    AnswerRow,
+    LinkUsage,
+    LocalPath,
+    OpenUploads,
+    RequestSizeRow,
+    ServiceRow,
+    ZoneRow,
+)
 
 if TYPE_CHECKING:
     from citronspring.tokens.entities import Route
@@ -200,8 +208,17 @@
     services: dict[str, ServiceRow] = field(default_factory=dict)
     #: Answer sizes by route.
     answers: dict[int, AnswerRow] = field(default_factory=dict)
+    #: Request sizes by route.
+    request_sizes: dict[int, RequestSizeRow] = field(default_factory=dict)
     #: Number of routes with each priority.
     priorities: Counter[int] = field(default_factory=Counter)
+    #: Number of routes with each pair of priority and latency objective.
+    objectives: Counter[tuple[int, float]] = field(default_factory=Counter)
+    #: Capacity of the host's link in each direction, in bytes per second; infinite if
+    #: there is no limit.
+    link_rate: float = INFINITY
+    link_usage: LinkUsage = field(default_factory=LinkUsage)
+    uploads: OpenUploads = field(default_factory=OpenUploads)
     flows: dict[bytes, FlowRow] = field(default_factory=dict)
     local_path: LocalPath = field(default_factory=LocalPath)
     #: Unacknowledged retransmissions since the last event-loop iteration: target, and
@@ -263,6 +280,13 @@
             row = self.answers[route] = AnswerRow()
         return row
 
+    def request_size_row(self, route: int) -> RequestSizeRow:
+        """Return the request sizes of a route, creating the row if needed."""
+        row = self.request_sizes.get(route)
+        if row is None:
+            row = self.request_sizes[route] = RequestSizeRow()
+        return row
+
     def service_row(self, service: str) -> ServiceRow:
         """Return the row of a service, creating it if needed."""
         row = self.services.get(service)
--- a/citronspring/tokens/times.py
+++ b/citronspring/tokens/times.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
-from citronspring.light_stdlib import INFINITY
+from citronspring.light_stdlib import INFINITY, TYPE_CHECKING
 from citronspring.records import record
 
+if TYPE_CHECKING:
+    from citronspring.host_settings import HostSettings
+
 #: Largest share of the configuration bound for which a watch waits. While it waits,
 #: nothing confirms the known state, and a missing route is refused only if that state
 #: is younger than `CURRENT_SHARE` of the bound.
@@ -56,6 +59,13 @@
     #: Size of a watch's answer in bytes beyond which everything is listed instead.
     largest_watch: float
 
+    @classmethod
+    def from_settings(cls, settings: HostSettings) -> ReaderTimes:
+        """Return the timeouts for a host's settings."""
+        return cls.from_bounds(
+            settings.change_bound, settings.settling_time, settings.link_rate
+        )
+
     @classmethod
     def from_bounds(
         cls, change: float, settling: float, link_rate: float = INFINITY
--- a/tests/test_platform/test_process.py
+++ b/tests/test_platform/test_process.py
@@ -125,8 +125,9 @@
 def test_changed_settings_are_read_with_and_without_a_signal(serving):
     serving.process.send_signal(signal.SIGHUP)
     eventually(lambda: serving.logged("settings-read"))
-    serving.write_settings(serving.store_port, extra=1)
+    serving.write_settings(serving.store_port, limits={"link_mbps": 5.0})
     eventually(lambda: len(serving.logged("settings-read")) > 1)
+    assert json.loads(serving.get("/state")[1])["link"]["link_rate"] == 625_000.0
     serving.settings.write_text("{")
     eventually(lambda: serving.logged("settings-bad"))
     assert serving.status() == 200
@@ -138,6 +139,9 @@
     state = json.loads(serving.get("/state")[1])
     assert state["configuration"] == 7
     assert state["targets"]["i-2ea29917b4"]["flows"] == 1
+    # 28 bytes of IP and UDP header each; the target's packet has 8 more.
+    link = state["link"]
+    assert (link["received"], link["sent"]) == (31 + 28, 31 + 28 + 8)
     text = serving.get("/metrics")[1]
     assert "citronspring_configuration_revision 7" in text
     assert "citronspring_decision_seconds_count 1" in text
--- a/tests/test_platform/test_settings.py
+++ b/tests/test_platform/test_settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 
 import pytest
 
@@ -53,9 +54,11 @@
     """A host without limits in its settings starts with the defaults."""
     settings = decode_settings(json.dumps(VALID_SETTINGS))
     assert (settings.processor_share, settings.link_rate) == (1.0, 125_000_000.0)
+    assert settings.link_limit == math.inf
     limits = {"cpu_share": 0.163, "link_mbps": 5.0}
     small = decode_settings(json.dumps({**VALID_SETTINGS, "limits": limits}))
     assert (small.processor_share, small.link_rate) == (0.163, 625_000.0)
+    assert small.link_limit == 625_000.0
 
 
 @pytest.mark.parametrize("name", ["drain_ms", "evacuate_ms"])
--- /dev/null
+++ b/tests/test_tokens/test_load/link_model.py
@@ -0,0 +1,80 @@
+"""A host behind one link: packets of callers wait in a queue, without loss."""
+
+from heapq import heappop, heappush
+from itertools import count
+from math import inf
+
+from citronspring.tcp_flags import ACK, FIN, SYN
+from citronspring.tokens.entities import Packet, token_of
+from citronspring.tokens.messages import Forward
+
+#: Bytes of headers and largest payload, packets in flight, seconds of trip and work.
+HEADERS, PAYLOAD, WINDOW, ROUND_TRIP, WORK = 59, 1200, 16, 0.008, 0.013
+
+
+class LinkModel:
+    """The queue before a host, with a clock."""
+
+    def __init__(self, driver, rate):
+        self.driver, self.rate, self.free_at = driver, rate, 0.0
+        self.events, self.ids = [], count()
+
+    def after(self, seconds, act, *args):
+        heappush(self.events, (self.driver.now + seconds, next(self.ids), act, args))
+
+    def send(self, caller, flags, length, then):
+        """Send a packet; ``then`` gets the host's action when it has arrived."""
+        position = caller.token, caller.seq, caller.ack
+        packet = Packet(caller.flow, caller.route, flags, *position, length)
+        caller.seq += length
+        self.free_at = (
+            max(self.free_at, self.driver.now) + (length + HEADERS) / self.rate
+        )
+        self.after(self.free_at - self.driver.now, self.arrive, packet, then)
+
+    def arrive(self, packet, then):
+        self.driver.tables.link_usage.received += packet.length + HEADERS
+        then(self.driver.receive(packet))
+
+    def run(self):
+        while self.events:
+            self.driver.now, _, act, args = heappop(self.events)
+            self.driver.core.begin_iteration(self.driver.now)
+            act(*args)
+            self.driver.core.tick(self.driver.now)
+
+
+class Exchange:
+    """A flow with one request, of which every second packet is acknowledged."""
+
+    def __init__(self, model, caller, size):
+        self.model, self.caller, self.left = model, caller, size
+        self.in_flight, self.missing, self.seconds = 0, -(-size // PAYLOAD), inf
+        self.started_at = model.driver.now
+        model.send(caller, SYN, 0, self.connect)
+
+    def connect(self, action):
+        self.admitted = isinstance(action, Forward)
+        if self.admitted:
+            self.caller.token = token_of(action.target.target.incarnation)
+            self.model.after(ROUND_TRIP, self.send_window)
+
+    def send_window(self, acknowledged=0):
+        self.in_flight -= acknowledged
+        while self.left and self.in_flight < WINDOW:
+            length = min(self.left, PAYLOAD)
+            self.left, self.in_flight = self.left - length, self.in_flight + 1
+            self.model.send(self.caller, ACK, length, self.arrive)
+
+    def arrive(self, action):
+        assert isinstance(action, Forward)
+        self.missing -= 1
+        if self.missing % 2 == 0:
+            self.model.after(ROUND_TRIP, self.send_window, 2)
+        if not self.missing:
+            self.model.after(ROUND_TRIP + WORK, self.finish)
+
+    def finish(self):
+        self.seconds = self.model.driver.now - self.started_at
+        self.caller.ack += 900
+        self.model.send(self.caller, FIN | ACK, 0, bool)
