--- a/citronspring/daemons/token_host.py
+++ b/citronspring/daemons/token_host.py
@@ -19,15 +19,13 @@
     STOPPED,
 )
 from citronspring.light_sockets import (
-    AF_INET,
     SIGHUP,
     SIGINT,
     SIGTERM,
     SIGUSR1,
     SO_RCVBUF,
-    SOCK_DGRAM,
     SOL_SOCKET,
-    Socket,
+    bind_datagrams,
     set_signal_handler,
     set_wakeup_fd,
     socketpair,
@@ -44,7 +42,6 @@
     from citronspring.daemons.http_server import ServerConnection
     from citronspring.daemons.platform_adapter import PlatformAdapter
     from citronspring.daemons.prefetch import Prefetch
-    from citronspring.endpoints import Endpoint
     from citronspring.host_settings import HostSettings
     from citronspring.tokens.messages import Action
 
@@ -114,9 +111,9 @@
         self.core.begin_iteration(self.started_at)
         self.log = LineLog(1, settings.host_id, adapter.format_flow)
         self.selector = Poller()
-        self.packets = self.bind(self.settings.packets)
+        self.packets = bind_datagrams(self.settings.packets)
         self.packets.setsockopt(SOL_SOCKET, SO_RCVBUF, RECEIVE_BUFFER)
-        self.messages = self.bind(self.settings.messages)
+        self.messages = bind_datagrams(self.settings.messages)
         self.selector.register(self.messages, EVENT_READ, self.read_messages)
         self.receiving = False
         #: False while the socket may hold unread packets. Timers wait for it: after a
@@ -146,13 +143,6 @@
         self.core.tables.change_log.rate = LINK_SHARE * settings.link_rate
         self.core.set_link_limit(settings.link_limit, boot_clock())
 
-    def bind(self, endpoint: Endpoint) -> Socket:
-        """Return a non-blocking UDP socket bound to an endpoint."""
-        sock = Socket(AF_INET, SOCK_DGRAM)
-        sock.setblocking(False)
-        sock.bind((endpoint.ip, endpoint.port))
-        return sock
-
     def run(self) -> None:
         """Serve until the host may stop."""
         self.install_signal_handlers()
--- a/citronspring/light_sockets.py
+++ b/citronspring/light_sockets.py
@@ -22,6 +22,7 @@
     "SO_REUSEADDR",
     "TCP_NODELAY",
     "Socket",
+    "bind_datagrams",
     "inet_ntoa",
     "inet_pton",
     "set_signal_handler",
@@ -47,6 +48,8 @@
         socketpair,
     )
     from socket import socket as Socket  # noqa: N812
+
+    from citronspring.endpoints import Endpoint
 else:
     from _signal import SIGHUP, SIGINT, SIGTERM, SIGUSR1, set_wakeup_fd
     from _signal import signal as set_signal_handler
@@ -75,3 +78,11 @@
             """Return the socket of a waiting connection and the peer's address."""
             descriptor, address = self._accept()
             return Socket(self.family, self.type, self.proto, descriptor), address
+
+
+def bind_datagrams(endpoint: Endpoint) -> Socket:
+    """Return a non-blocking UDP socket bound to an endpoint."""
+    sock = Socket(AF_INET, SOCK_DGRAM)
+    sock.setblocking(False)
+    sock.bind((endpoint.ip, endpoint.port))
+    return sock
