--- a/citronspring/emulator/hosts.py
+++ b/citronspring/emulator/hosts.py
@@ -8,7 +8,7 @@
 
 from citronspring.emulator.answer_sizes import answer_bytes
 from citronspring.emulator.calls import ITERATION_INTERVAL, PendingCall
-from citronspring.emulator.links import Link
+from citronspring.emulator.links import HEADER_BYTES, Link
 from citronspring.emulator.network import CALLERS
 from citronspring.emulator.targets import Reply
 from citronspring.endpoints import Endpoint
@@ -112,6 +112,7 @@
         )
         if self.download_rate < math.inf:
             self.core.tables.change_log.rate = LINK_SHARE * self.download_rate
+        self.core.set_link_limit(self.inbound_link.rate, self.clock.now)
         self.core.begin_iteration(self.clock.now)
         self.iterate(boot)
 
@@ -169,6 +170,7 @@
         self.core.begin_iteration(self.clock.now)
         waiting, self.queue = self.queue, []
         for packet, caller in waiting:
+            self.core.tables.link_usage.received += packet.length + HEADER_BYTES
             self.callers[packet.flow] = caller
             self.perform(self.core.receive(packet, self.clock.now))
 
@@ -356,6 +358,7 @@
                 lambda: target.receive(packet, incarnation, caller),
             )
 
+        self.count_sent(packet.length)
         self.outbound_link.transmit(self.clock, packet.length, transmit)
 
     def reset(self, action: ResetCaller) -> None:
@@ -368,8 +371,14 @@
         def transmit() -> None:
             self.network.send(self.zone, CALLERS, lambda: caller.receive(reply))
 
+        self.count_sent(0)
         self.outbound_link.transmit(self.clock, 0, transmit)
 
+    def count_sent(self, length: int) -> None:
+        """Count a sent packet against the link."""
+        if self.core is not None:
+            self.core.tables.link_usage.sent += length + HEADER_BYTES
+
 
 def with_token(packet: Packet, token: int) -> Packet:
     """Return a packet with the token of its target."""
