Remove deadlines of uploads without waiting for an opening

Deadlines were removed at openings only. On a host with uploads on long flows alone they would have filled the memory. A later flow of the same port keeps its own time. An infinite objective is logged as null.

--- a/citronspring/tokens/balancer.py
+++ b/citronspring/tokens/balancer.py
@@ -129,11 +129,13 @@
         tables.iteration_started_at = now
         if now >= tables.link_usage.sample_at and tables.link_rate < INFINITY:
             # Imported on first use: the first sample is taken after the start.
+            from citronspring.tokens.load.host_capacity import release_abandoned_uploads
             from citronspring.tokens.load.link_usage import sample_link
             from citronspring.tokens.load.request_sizes import learn_request_sizes
 
             sample_link(tables, now)
             learn_request_sizes(tables)
+            release_abandoned_uploads(tables, now)
         return stalled
 
     def receive(self, packet: Packet, now: float) -> list[Action]:
--- a/citronspring/tokens/load/host_capacity.py
+++ b/citronspring/tokens/load/host_capacity.py
@@ -50,7 +50,6 @@
     now : float
         Current time in seconds.
     """
-    release_abandoned_uploads(tables, now)
     queue = link_seconds(tables, tables.uploads.in_flight)
     recent = utilization(tables.link_usage, tables.link_rate, SHORT_WINDOW, now)
     if recent > FULL and queue + delay > route.objective:
@@ -103,7 +102,8 @@
         flow = tables.flows.get(key)
         if flow is None or not flow.upload_bytes:
             continue
-        deadline = flow.sent_at + UPLOAD_TIMEOUT
+        # The flow may be a later one of the same caller's port.
+        deadline = max(flow.sent_at, flow.first_sent_at) + UPLOAD_TIMEOUT
         if deadline > now:
             heappush(deadlines, (deadline, key))
         else:
--- a/citronspring/tokens/openings.py
+++ b/citronspring/tokens/openings.py
@@ -279,7 +279,7 @@
         expected_bytes=tables.uploads.remaining,
         in_flight=tables.uploads.in_flight,
         **describe_link(tables, now),
-        objective=route.objective,
+        objective=route.objective if route.objective < INFINITY else None,
         priority=route.priority,
         configuration=tables.configuration,
     )
