--- a/tests/test_tokens/test_load/link_model.py
+++ b/tests/test_tokens/test_load/link_model.py
@@ -2,14 +2,13 @@
 
 from heapq import heappop, heappush
 from itertools import count
-from math import inf
 
 from citronspring.tcp_flags import ACK, FIN, SYN
 from citronspring.tokens.entities import Packet, token_of
 from citronspring.tokens.messages import Forward
 
-#: Bytes of headers and largest payload, packets in flight, seconds of trip and work.
-HEADERS, PAYLOAD, WINDOW, ROUND_TRIP, WORK = 59, 1200, 16, 0.008, 0.013
+#: Bytes of headers and payload, packets in flight, seconds of trip, work and never.
+HEADERS, PAYLOAD, WINDOW, ROUND_TRIP, WORK, NEVER = 59, 1200, 16, 0.008, 0.013, 1e9
 
 
 class LinkModel:
@@ -49,7 +48,7 @@
 
     def __init__(self, model, caller, size):
         self.model, self.caller, self.left = model, caller, size
-        self.in_flight, self.missing, self.seconds = 0, -(-size // PAYLOAD), inf
+        self.in_flight, self.missing, self.seconds = 0, -(-size // PAYLOAD), NEVER
         self.started_at = model.driver.now
         model.send(caller, SYN, 0, self.connect)
 
