Take downloads for idempotent

Cause: of the platform's route types only `idempotent` counted as safe to run twice, so a download at a target that had died was left to its caller's deadline. Change: the type `download` is idempotent as well; unknown types are not. Result: the new test failed for `download` before and passes now.

--- a/citronspring/platform/entries.py
+++ b/citronspring/platform/entries.py
@@ -27,8 +27,8 @@
 #: is ignored.
 DRAIN_PREFIX = "op/evacuate/"
 
-#: Route type whose requests may be executed more than once.
-IDEMPOTENT_ROUTE_TYPE = "idempotent"
+#: Route types whose requests may be executed more than once.
+IDEMPOTENT_ROUTE_TYPES = ("idempotent", "download")
 
 #: Whether a target is leaving, by the state that it registers.
 LEAVING_BY_STATE = {"ready": False, "draining": True}
@@ -131,7 +131,7 @@
         name=body["name"],
         key=route_key(address, port),
         shares=shares,
-        idempotent=body["route_type"] == IDEMPOTENT_ROUTE_TYPE,
+        idempotent=body["route_type"] in IDEMPOTENT_ROUTE_TYPES,
         objective=decode_objective(body.get("target_latency_ms")),
         priority=int(body.get("priority", 0)),
     )
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -89,6 +89,20 @@
     return entry
 
 
+@pytest.mark.parametrize(
+    ("route_type", "idempotent"),
+    [("idempotent", True), ("download", True), ("non_idempotent", False), ("x", False)],
+)
+def test_only_requests_that_may_run_twice_are_idempotent(route_type, idempotent):
+    """A download counted as not idempotent waits at a dead target until its deadline.
+
+    An unknown type counted as idempotent would let a request run twice.
+    """
+    configuration = {**CONFIGURATION, "routes": [{**ROUTE, "route_type": route_type}]}
+    (entry,) = page(item("op/config", configuration)).entries
+    assert entry.routes[0].idempotent is idempotent
+
+
 def test_calls_are_reads_of_every_key():
     assert encode_call(LIST) == HttpRequest("GET", "/api/kv-range?prefix=")
     paged = encode_call(ListEntries("a/b c"))
