Keep the earlier services of routes in the store

Cause: a host accepts a token if the target's service is or was one of the route, and knew earlier services only from its own past. After a change of services every host that started dropped the open flows (foreign-token). A zone reader that holds its lease and is current writes what is missing, each write under the revisions that it has read. Rows per route and service have the deadline at which the service is forgotten and whether the store records it.

--- a/citronspring/addresses.py
+++ b/citronspring/addresses.py
@@ -1,4 +1,4 @@
-"""Parsing of IPv4 addresses and ports in the platform's notation."""
+"""Parsing of IPv4 addresses and ports in decimal notation."""
 
 from __future__ import annotations
 
--- a/citronspring/daemons/token_host.py
+++ b/citronspring/daemons/token_host.py
@@ -109,7 +109,7 @@
         self.core = TokenBalancer.from_config(
             settings.host_id, settings.zone, reader_times(settings), len(settings.peers)
         )
-        self.limit_follower_rate(settings)
+        self.apply_limits(settings)
         # The first iteration lasts until packets are read: packets queued since the
         # start for longer than a stall are too old to be placed.
         self.core.begin_iteration(self.started_at)
@@ -142,8 +142,9 @@
         self.settings_version = adapter.settings_version()
         self.settings_check_at = self.started_at + SETTINGS_INTERVAL
 
-    def limit_follower_rate(self, settings: HostSettings) -> None:
-        """Limit the share of the host's link that followers may use."""
+    def apply_limits(self, settings: HostSettings) -> None:
+        """Pass the lifetime of flows and the followers' share of the link on."""
+        self.core.tables.flow_lifetime = settings.flow_lifetime
         self.core.tables.change_log.rate = LINK_SHARE * settings.link_rate
 
     def bind(self, endpoint: Endpoint) -> Socket:
@@ -284,6 +285,8 @@
             "reason": action.reason.value,
             "token": packet.token,
         }
+        if action.route:
+            fields["route"], fields["service"] = action.route, action.service
         self.write(PACKET_DROPPED.number, fields)
 
     def send(self, data: bytes, address: tuple[str, int]) -> None:
@@ -389,7 +392,7 @@
         self.write(SETTINGS_READ.number, {"changed": changed})
         self.settings = settings
         self.calls.apply_settings(settings)
-        self.limit_follower_rate(settings)
+        self.apply_limits(settings)
         self.core.times = reader_times(settings)
 
     def on_dump(self, number: int, frame: object) -> None:
--- a/citronspring/emulator/answer_sizes.py
+++ b/citronspring/emulator/answer_sizes.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from citronspring.tokens.entries import Configuration, Target
+from citronspring.tokens.entries import Configuration, RouteHistory, Target
 from citronspring.tokens.messages import Changes, Page
 
 if TYPE_CHECKING:
@@ -18,6 +18,9 @@
 TARGET_BYTES = 400
 ENTRY_BYTES = 150
 
+#: Bytes of a route in a route history.
+HISTORY_BYTES = 60
+
 #: Bytes of an answer apart from its entries.
 HEADER_BYTES = 200
 
@@ -41,5 +44,7 @@
             return ENTRY_BYTES + ROUTE_BYTES * len(entry.routes)
         case Target():
             return TARGET_BYTES
+        case RouteHistory():
+            return ENTRY_BYTES + HISTORY_BYTES * len(entry.routes)
         case _:
             return ENTRY_BYTES
--- a/citronspring/emulator/checker.py
+++ b/citronspring/emulator/checker.py
@@ -10,7 +10,8 @@
 from citronspring.emulator.network import BASELINE_LOSS
 from citronspring.emulator.zone_checker import ZoneChecker
 from citronspring.tcp_flags import SYN
-from citronspring.tokens.messages import ResetReason
+from citronspring.tokens.entities import token_of
+from citronspring.tokens.messages import DropReason, ResetReason
 
 if TYPE_CHECKING:
     from citronspring.emulator.callers import EmulatedCaller
@@ -21,7 +22,7 @@
     from citronspring.emulator.targets import EmulatedTarget, Reply
     from citronspring.tokens.entities import Packet
     from citronspring.tokens.entries import Configuration
-    from citronspring.tokens.messages import Log
+    from citronspring.tokens.messages import Drop, Log
 
 #: Settling time: seconds after a disturbance until guarantees with a bound apply.
 SETTLING = 4.0
@@ -57,6 +58,8 @@
     owners: dict[bytes, EmulatedTarget] = field(default_factory=dict)
     #: Services that each route has ever pointed to.
     services: dict[int, set[str]] = field(default_factory=dict)
+    #: Time of the last change of the services of a route.
+    shares_changed_at: float = -100.0
     #: Each accepted configuration with the time of its acceptance.
     accepted: list[tuple[float, Configuration]] = field(default_factory=list)
     #: Highest revision that each process of a host has applied.
@@ -166,6 +169,17 @@
         else:
             self.resets.unjustified += 1
 
+    def dropped(self, host: EmulatedHost, drop: Drop) -> None:
+        """Check a dropped packet: a flow stays when its route's services change."""
+        packet, owner = drop.packet, self.live_owner(drop.packet.flow)
+        if drop.reason is not DropReason.FOREIGN_TOKEN or owner is None:
+            return
+        issued = packet.token == token_of(owner.incarnation)
+        named = owner.service in self.services.get(packet.route, set())
+        if issued and named and self.settled(self.shares_changed_at):
+            detail = f"{host.host_id} dropped a packet for {owner.target_id}"
+            self.report_violation("flows stay", detail)
+
     def check_missing_route(self, host: EmulatedHost, packet: Packet) -> None:
         """Check that a route reported as missing is missing in a recent configuration.
 
--- a/citronspring/emulator/hosts.py
+++ b/citronspring/emulator/hosts.py
@@ -20,6 +20,7 @@
 from citronspring.tokens.entities import Packet
 from citronspring.tokens.messages import (
     AnswerTooLarge,
+    Drop,
     FollowReader,
     Forward,
     Log,
@@ -319,6 +320,8 @@
                     self.forward(action)
                 case ResetCaller():
                     self.reset(action)
+                case Drop():
+                    self.checker.dropped(self, action)
                 case Log():
                     self.checker.logged(self, action)
                 case Tell():
--- a/citronspring/emulator/store.py
+++ b/citronspring/emulator/store.py
@@ -9,6 +9,7 @@
 from citronspring.tokens.entries import (
     Configuration,
     ReaderRemoved,
+    RouteHistory,
     Target,
     TargetRemoved,
     ZoneDrain,
@@ -33,6 +34,7 @@
     Refused,
     RenewLease,
     WatchEntries,
+    WriteRouteHistory,
 )
 
 if TYPE_CHECKING:
@@ -46,7 +48,7 @@
         StoreAnswer,
     )
 
-Entry = Configuration | Target | ZoneReader | ZoneDrain
+Entry = Configuration | Target | ZoneReader | ZoneDrain | RouteHistory
 Change = Entry | TargetRemoved | ReaderRemoved
 
 #: Seconds until a call is answered.
@@ -194,6 +196,8 @@
             self.leases[self.last_lease] = Lease(call.ttl, self.clock.now + call.ttl)
             self.watch_lease(self.last_lease)
             return LeaseGranted(self.last_lease, call.ttl)
+        if isinstance(call, WriteRouteHistory):
+            return self.write_histories(call)
         lease = self.leases.get(call.lease)
         if lease is None:
             return LeaseLost()
@@ -222,6 +226,22 @@
         self.record(reader)
         return Done()
 
+    def write_histories(self, call: WriteRouteHistory) -> ElectionAnswer:
+        """Write shards of the route history, unless one has another revision."""
+        for history in call.histories:
+            known = self.entries.get(history_key(history.shard))
+            count = count_of(known.revision) if known is not None else 0
+            if count != count_of(history.revision):
+                return ConditionFailed()
+        self.revision += 1
+        for history in call.histories:
+            entry = with_revision(history, self.revision)
+            self.entries[history_key(history.shard)] = entry
+            self.changes.append((self.revision, entry))
+        if not self.watches_suppressed:
+            self.notify_watches()
+        return Done()
+
     def watch_lease(self, number: int) -> None:
         """Schedule the end of a lease at its deadline, unless it is renewed."""
 
@@ -368,3 +388,8 @@
 def drain_key(zone: str) -> str:
     """Return the key of a zone's drain."""
     return f"drain-of-{zone}"
+
+
+def history_key(shard: int) -> str:
+    """Return the key of a shard of the route history."""
+    return f"history-{shard:x}"
--- a/citronspring/emulator/world.py
+++ b/citronspring/emulator/world.py
@@ -70,6 +70,8 @@
     #: Seconds within which changes are applied, and the settling time.
     change_bound: float = CHANGE_BOUND
     settling: float = SETTLING
+    #: Requests that a stream sends over one flow.
+    stream_requests: int = STREAM_REQUESTS
     #: Length in seconds of the warm-up of a target that starts during traffic.
     warmup_seconds: float = 0.0
 
@@ -87,6 +89,10 @@
     hosts: list[EmulatedHost] = field(default_factory=list)
     targets: dict[int, EmulatedTarget] = field(default_factory=dict)
     revision: int = 0
+    #: Services of each route with traffic.
+    services: dict[int, tuple[str, ...]] = field(
+        default_factory=lambda: {key: (name,) for key, name in SERVICES.items()}
+    )
     extra_routes: int = 0
     #: Number of routes without traffic.
     idle_routes: int = 0
@@ -194,20 +200,26 @@
         keys = [*SERVICES, *(STREAMS + 1000 + n for n in range(self.extra_routes))]
         routes = []
         for key in keys:
-            service = SERVICES.get(key, "desk")
+            services = self.services.get(key, ("desk",))
             idempotent = key != ORDERS and key != UPLOADS
-            shares = (Share(service, 1.0),)
+            shares = tuple(Share(service, 1.0) for service in services)
             name = f"route-{key & 0xFFFF}"
             priority = 1 if key == ORDERS else 2
             objective = self.sizes.objective
             route = Route(name, key, shares, idempotent, objective, priority)
             routes.append(route)
-            self.checker.services.setdefault(key, set()).add(service)
+            self.checker.services.setdefault(key, set()).update(services)
         routes += map(idle_route, range(self.idle_routes))
         configuration = Configuration(self.revision, tuple(routes), 15.0)
         self.store.put_configuration(configuration)
         self.checker.accepted.append((self.clock.now, configuration))
 
+    def change_services(self, key: int, *services: str) -> None:
+        """Commit a configuration in which a route has other services."""
+        self.services[key] = services
+        self.checker.shares_changed_at = self.clock.now
+        self.change_configuration()
+
     # Traffic ---------------------------------------------------------------------
 
     def start_callers(self) -> None:
@@ -234,7 +246,7 @@
             route,
             route not in (ORDERS, UPLOADS),
             DEADLINES.get(route, 1.5),
-            STREAM_REQUESTS if route == STREAMS else 1,
+            self.sizes.stream_requests if route == STREAMS else 1,
             self.callers << 20,
         )
         caller.start()
--- a/citronspring/events.py
+++ b/citronspring/events.py
@@ -223,6 +223,19 @@
     Level.INFO,
     "The drain of an availability zone has started or ended.",
 )
+SERVICE_REPLACED = Event(
+    617,
+    "service-replaced",
+    Level.INFO,
+    "A route no longer names a service; packets of its open flows are forwarded for "
+    "`kept_for` seconds more.",
+)
+SERVICE_FORGOTTEN = Event(
+    618,
+    "service-forgotten",
+    Level.INFO,
+    "A former service of a route is forgotten; packets with its tokens are dropped.",
+)
 STORE_LOST = Event(
     620,
     "store-lost",
@@ -306,6 +319,21 @@
     "Compare `revision` with `known`. Targets and operators rewrite missing entries; "
     "repeat changes made since the backup that are not in effect.",
 )
+HISTORY_WRITTEN = Event(
+    634,
+    "route-history-written",
+    Level.INFO,
+    "The host recorded current and former services of routes in the store.",
+)
+HISTORY_WRITE_FAILED = Event(
+    635,
+    "route-history-write-failed",
+    Level.INFO,
+    "The host could not record the services of routes in the store; it tries again "
+    "with what is still missing.",
+    "`another host was first` needs nothing. If another cause persists, check the "
+    "store.",
+)
 NEWS_REFUSED = Event(
     640,
     "news-refused",
--- a/citronspring/host_settings.py
+++ b/citronspring/host_settings.py
@@ -1,11 +1,14 @@
-"""Settings of a host in token mode."""
+"""Settings of a host in token mode, and the fields of the table they are read from."""
 
 from __future__ import annotations
 
+from citronspring.errors import SettingsError
 from citronspring.light_stdlib import TYPE_CHECKING
 from citronspring.records import record
 
 if TYPE_CHECKING:
+    from typing import Any
+
     from citronspring.endpoints import Endpoint
 
 
@@ -38,3 +41,37 @@
     settling_time: float
     #: Seconds from the stop signal until the process is killed.
     stop_grace: float
+    #: Longest lifetime of a flow in seconds.
+    flow_lifetime: float = 3600.0
+
+
+def section(table: dict[str, Any], name: str) -> dict[str, Any]:
+    """Return a table in the settings."""
+    value = table.get(name)
+    if not isinstance(value, dict):
+        raise invalid_field(name, value, "a table")
+    return value
+
+
+def text_field(table: dict[str, Any], name: str) -> str:
+    """Return a field that holds a non-empty string."""
+    value = table.get(name)
+    if not isinstance(value, str) or not value:
+        raise invalid_field(name, value, "a non-empty string")
+    return value
+
+
+def positive_field(
+    table: dict[str, Any], name: str, default: float | None = None
+) -> float:
+    """Return a field that holds a positive number, or the default if it is absent."""
+    value = table.get(name, default)
+    if isinstance(value, bool) or not isinstance(value, int | float) or value <= 0:
+        raise invalid_field(name, value, "a number greater than 0")
+    return float(value)
+
+
+def invalid_field(name: str, value: object, expected: str) -> SettingsError:
+    """Return the error for a field with an invalid value."""
+    shown = "nothing" if value is None else repr(value)
+    return SettingsError(f"{name} holds {shown}", f"give {expected}")
--- a/citronspring/http_request.py
+++ b/citronspring/http_request.py
@@ -37,3 +37,12 @@
     body: bytes
     #: Values by name in lower case.
     headers: dict[bytes, bytes] = field(default_factory=dict)
+
+
+def quote_value(text: str) -> str:
+    """Return text quoted as a value of a query string."""
+    # Only the second page of a list needs this; imported at start, it would delay the
+    # first.
+    from urllib.parse import quote
+
+    return quote(text, safe="")
--- a/citronspring/json_text.py
+++ b/citronspring/json_text.py
@@ -6,9 +6,10 @@
 
 from __future__ import annotations
 
+from citronspring.errors import StoredValueError
 from citronspring.light_stdlib import TYPE_CHECKING
 
-__all__ = ["dumps", "loads", "compact_encoder"]
+__all__ = ["dumps", "loads", "loads_object", "compact_encoder"]
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -97,3 +98,14 @@
             return "".join(pieces(value, 0))
 
         return write
+
+
+def loads_object(value: bytes) -> dict[str, Any]:
+    """Return the JSON object in a value."""
+    try:
+        found = loads(value)
+    except (ValueError, RecursionError) as error:
+        raise StoredValueError(f"the value is not valid JSON: {error}") from error
+    if not isinstance(found, dict):
+        raise StoredValueError("the value is not a JSON object")
+    return found
--- a/citronspring/platform/entries.py
+++ b/citronspring/platform/entries.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
+from citronspring.addresses import parse_endpoint, parse_ipv4, parse_port
 from citronspring.errors import StoredValueError
-from citronspring.json_text import dumps, loads
+from citronspring.json_text import dumps, loads_object
 from citronspring.light_stdlib import INFINITY, TYPE_CHECKING
-from citronspring.platform.addresses import parse_endpoint, parse_ipv4, parse_port
 from citronspring.tokens.entities import Route, Share, route_key
 from citronspring.tokens.entries import Configuration, Target, ZoneReader
 
@@ -23,6 +23,9 @@
 #: Prefix of the keys under which zone readers register, followed by the zone.
 READER_PREFIX = "readers/"
 
+#: Prefix of the keys of the route history's shards, followed by the shard.
+HISTORY_PREFIX = "route-history/"
+
 #: Prefix of the keys by which operators drain a zone, followed by the zone. The value
 #: is ignored.
 DRAIN_PREFIX = "op/evacuate/"
@@ -80,29 +83,18 @@
         If the value is not valid for its key.
     """
     if key == CONFIGURATION_KEY:
-        return decode_configuration(parse_object(value))
+        return decode_configuration(loads_object(value))
     if key.startswith(TARGET_PREFIX):
         return decode_target(
-            key.removeprefix(TARGET_PREFIX), parse_object(value), revision
+            key.removeprefix(TARGET_PREFIX), loads_object(value), revision
         )
     if key.startswith(READER_PREFIX):
         return decode_reader(
-            key.removeprefix(READER_PREFIX), parse_object(value), revision
+            key.removeprefix(READER_PREFIX), loads_object(value), revision
         )
     return None
 
 
-def parse_object(value: bytes) -> dict[str, Any]:
-    """Return the JSON object in a value."""
-    try:
-        found = loads(value)
-    except (ValueError, RecursionError) as error:
-        raise StoredValueError(f"the value is not valid JSON: {error}") from error
-    if not isinstance(found, dict):
-        raise StoredValueError("the value is not a JSON object")
-    return found
-
-
 def decode_configuration(body: dict[str, Any]) -> Configuration:
     """Return the decoded configuration."""
     try:
--- a/citronspring/platform/leases.py
+++ b/citronspring/platform/leases.py
@@ -1,4 +1,4 @@
-"""Leases in the platform's store, and the registration of a zone reader."""
+"""Leases in the platform's store, and what a zone reader writes."""
 
 from __future__ import annotations
 
@@ -20,6 +20,7 @@
     Refused,
     RenewLease,
     Unanswered,
+    WriteRouteHistory,
 )
 
 if TYPE_CHECKING:
@@ -47,9 +48,12 @@
         case EndLease():
             return HttpRequest("DELETE", f"/api/kv-lease-end/{call.lease}")
         case ClaimZone():
-            return HttpRequest(
-                "POST", "/api/kv-txn", encode_body(claim_transaction(call))
-            )
+            transaction = claim_transaction(call)
+        case WriteRouteHistory():
+            from citronspring.platform.route_histories import history_transaction
+
+            transaction = history_transaction(call)
+    return HttpRequest("POST", "/api/kv-txn", encode_body(transaction))
 
 
 def claim_transaction(call: ClaimZone) -> dict[str, Any]:
--- a/citronspring/platform/settings.py
+++ b/citronspring/platform/settings.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
+from citronspring.addresses import parse_endpoint, parse_port
 from citronspring.endpoints import Endpoint
 from citronspring.errors import SettingsError
-from citronspring.host_settings import HostSettings
+from citronspring.host_settings import (
+    HostSettings,
+    invalid_field,
+    positive_field,
+    section,
+    text_field,
+)
 from citronspring.json_text import loads
 from citronspring.light_stdlib import TYPE_CHECKING, getenv, stat
-from citronspring.platform.addresses import parse_endpoint, parse_port
 
 if TYPE_CHECKING:
     from typing import Any
@@ -22,6 +28,9 @@
 #: arrive through the same watch as the configuration, so the shortest bound applies.
 OTHER_CHANGE_BOUNDS = ("drain_ms", "evacuate_ms")
 
+#: Longest lifetime of a flow in seconds, for settings that do not limit it.
+DEFAULT_FLOW_LIFETIME = 3600.0
+
 #: Bytes in a megabit; link rates are given in megabits per second.
 BYTES_PER_MEGABIT = 125_000
 
@@ -98,33 +107,12 @@
         settling_time=positive_field(bounds, "stable_window_ms") * MILLISECOND,
         # Time from the stop signal until the process is killed.
         stop_grace=positive_field(bounds, "grace_s"),
+        flow_lifetime=positive_field(
+            {**bounds, **table}, "flow_ttl_s", DEFAULT_FLOW_LIFETIME
+        ),
     )
 
 
-def section(table: dict[str, Any], name: str) -> dict[str, Any]:
-    """Return a table in the settings."""
-    value = table.get(name)
-    if not isinstance(value, dict):
-        raise invalid_field(name, value, "a table")
-    return value
-
-
-def text_field(table: dict[str, Any], name: str) -> str:
-    """Return a field that holds a non-empty string."""
-    value = table.get(name)
-    if not isinstance(value, str) or not value:
-        raise invalid_field(name, value, "a non-empty string")
-    return value
-
-
-def positive_field(table: dict[str, Any], name: str) -> float:
-    """Return a field that holds a positive number."""
-    value = table.get(name)
-    if isinstance(value, bool) or not isinstance(value, int | float) or value <= 0:
-        raise invalid_field(name, value, "a number greater than 0")
-    return float(value)
-
-
 def limit_field(table: dict[str, Any], name: str, default: float) -> float:
     """Return a limit of this host, or the default if it is not set."""
     limits = table.get("limits")
@@ -178,9 +166,3 @@
         return tuple(parse_endpoint(str(seed)) for seed in seeds if seed != own)
     except ValueError as error:
         raise invalid_field("seeds", seeds, "IPv4 addresses with ports") from error
-
-
-def invalid_field(name: str, value: object, expected: str) -> SettingsError:
-    """Return the error for a field with an invalid value."""
-    shown = "nothing" if value is None else repr(value)
-    return SettingsError(f"{name} holds {shown}", f"give {expected}")
--- a/citronspring/platform/store.py
+++ b/citronspring/platform/store.py
@@ -5,17 +5,17 @@
 from binascii import a2b_base64
 
 from citronspring.errors import StoredValueError
-from citronspring.http_request import HttpRequest
-from citronspring.json_text import loads
+from citronspring.http_request import HttpRequest, quote_value
+from citronspring.json_text import loads, loads_object
 from citronspring.light_stdlib import TYPE_CHECKING
 from citronspring.platform.entries import (
     DECODE_ERRORS,
     DRAIN_PREFIX,
+    HISTORY_PREFIX,
     READER_PREFIX,
     TARGET_PREFIX,
     decode_entry,
     decode_start,
-    parse_object,
 )
 from citronspring.tokens.entries import (
     ReaderRemoved,
@@ -40,7 +40,7 @@
     from collections.abc import Mapping
     from typing import Any
 
-    from citronspring.tokens.entries import Change, Entry
+    from citronspring.tokens.entries import Change, Entry, RouteHistory
 
 #: Prefix of the keys that a host watches: all keys, as one watch costs less than two.
 WATCHED_PREFIX = ""
@@ -62,7 +62,7 @@
         case ListEntries():
             path = f"/api/kv-range?prefix={WATCHED_PREFIX}"
             if call.after_key:
-                path = f"{path}&after={quote_key(call.after_key)}"
+                path = f"{path}&after={quote_value(call.after_key)}"
         case WatchEntries():
             path = (
                 f"/api/kv-watch?prefix={WATCHED_PREFIX}"
@@ -72,15 +72,6 @@
     return HttpRequest("GET", path)
 
 
-def quote_key(key: str) -> str:
-    """Return a key quoted for a query string."""
-    # Only the second page of a list needs this; imported at start, it would delay the
-    # first.
-    from urllib.parse import quote
-
-    return quote(key, safe="")
-
-
 def decode_answer(
     call: ListEntries | WatchEntries,
     status: int,
@@ -152,6 +143,8 @@
         return TargetRemoved(key.removeprefix(TARGET_PREFIX), revision)
     if key.startswith(READER_PREFIX):
         return ReaderRemoved(key.removeprefix(READER_PREFIX), revision)
+    if key.startswith(HISTORY_PREFIX):
+        return decode_history(key, None, revision)
     return None
 
 
@@ -160,6 +153,8 @@
     key, revision = item["key"], ordered_revision(epoch, int(item["revision"]))
     if key.startswith(DRAIN_PREFIX):
         return decode_drain(key, revision, ended=False)
+    if key.startswith(HISTORY_PREFIX):
+        return decode_history(key, item["value"], revision)
     value = b""
     try:
         value = a2b_base64(item["value"])
@@ -169,6 +164,16 @@
         return Unreadable(name, str(error), revision, decode_start_leniently(value))
 
 
+def decode_history(
+    key: str, value: str | None, revision: int
+) -> RouteHistory | Unreadable | None:
+    """Return the decoded shard of the route history; ``value`` is None if removed."""
+    # Imported on first use; the store of most deployments has no route history.
+    from citronspring.platform.route_histories import decode_shard
+
+    return decode_shard(key, value, revision)
+
+
 def decode_drain(key: str, revision: int, *, ended: bool) -> ZoneDrain | None:
     """Return the start or end of the drain of a zone; None if the key names no zone."""
     zone = key.removeprefix(DRAIN_PREFIX)
@@ -178,6 +183,6 @@
 def decode_start_leniently(value: bytes) -> int | None:
     """Return the start time in an invalid target entry, None if it is unreadable."""
     try:
-        return decode_start(parse_object(value))
+        return decode_start(loads_object(value))
     except StoredValueError:
         return None
--- a/citronspring/tokens/balancer.py
+++ b/citronspring/tokens/balancer.py
@@ -21,7 +21,7 @@
     report_suspicions,
 )
 from citronspring.tokens.local_path import note_disturbance
-from citronspring.tokens.messages import Log
+from citronspring.tokens.messages import Log, WriteRouteHistory
 from citronspring.tokens.openings import place_opening, unanswered_openings
 from citronspring.tokens.peer_snapshot import encode_snapshot
 from citronspring.tokens.store_reader import (
@@ -159,17 +159,36 @@
     def next_election_call(
         self, endpoint: Endpoint, delay: float, now: float
     ) -> ElectionCall | None:
-        """Return the election call that is due, None if none is."""
-        return next_election_call(self.tables, endpoint, delay, now)
+        """Return the election call or write of a zone reader that is due, or None."""
+        call = next_election_call(self.tables, endpoint, delay, now)
+        history = self.tables.route_history
+        if call is not None or not history.unchecked or not self.tables.election.lease:
+            return call
+        if not history.is_used:
+            history.unchecked.clear()
+            return None
+        # Imported on first use; most deployments never write a route history.
+        from citronspring.tokens.route_history import next_history_write
+
+        current = is_current(self.tables, self.times, now)
+        return next_history_write(self.tables, current, now)
 
     def next_election_deadline(self) -> float:
         """Return the time at which the next election call may be due."""
-        return next_election_deadline(self.tables)
+        deadline = next_election_deadline(self.tables)
+        history = self.tables.route_history
+        if history.unchecked and self.tables.election.lease:
+            return min(deadline, history.write_at)
+        return deadline
 
     def handle_election_answer(
         self, call: ElectionCall, answer: ElectionAnswer, sent_at: float, now: float
     ) -> list[Action]:
-        """Apply the answer to an election call."""
+        """Apply the answer to an election call or to a write of a zone reader."""
+        if isinstance(call, WriteRouteHistory):
+            from citronspring.tokens.route_history import handle_write_answer
+
+            return handle_write_answer(self.tables, call, answer, now)
         return handle_election_answer(self.tables, call, answer, sent_at, now)
 
     def answer_poll(self, poll: FeedPoll, now: float) -> tuple[int, bytes] | None:
@@ -208,6 +227,10 @@
             tables.sweep_at = now + SWEEP_INTERVAL
             expire_flows(tables, now)
             forget_targets(tables, now)
+            if tables.route_history.earlier:
+                from citronspring.tokens.route_history import forget_services
+
+                forget_services(tables, now, actions)
         if now >= tables.restore_grace.next_deadline:
             from citronspring.tokens.restore_grace import expire_missing_entries
 
--- a/citronspring/tokens/codec.py
+++ b/citronspring/tokens/codec.py
@@ -10,6 +10,7 @@
     Configuration,
     ConfigurationChange,
     ReaderRemoved,
+    RouteHistory,
     Target,
     TargetRemoved,
     Unreadable,
@@ -24,9 +25,9 @@
 
 
 #: Version of the format that hosts exchange. Version 2 adds zone drains, version 3
-#: numbers revisions by epoch. A message of an earlier version may lack such data, so
-#: its absence there means nothing.
-FORMAT_VERSION = 3
+#: numbers revisions by epoch, version 4 adds route histories. A message of an earlier
+#: version may lack such data, so its absence there means nothing.
+FORMAT_VERSION = 4
 
 #: Errors that decoding raises for a body of another shape, as another release may send.
 DECODE_ERRORS = (AttributeError, IndexError, KeyError, TypeError, ValueError)
@@ -99,6 +100,8 @@
             return {"reader_removed": change.zone, "revision": change.revision}
         case ZoneDrain():
             return {"drain": encode_zone_drain(change)}
+        case RouteHistory():
+            return {"history": encode_route_history(change)}
 
 
 def decode_change(body: dict[str, Any]) -> FeedChange:
@@ -120,6 +123,7 @@
             str(found["reason"]),
             int(found["revision"]),
             start_time_of(found),
+            None if found.get("shard") is None else int(found["shard"]),
         )
     if "reader" in body:
         return decode_zone_reader(body["reader"])
@@ -127,6 +131,8 @@
         return ReaderRemoved(str(body["reader_removed"]), int(body["revision"]))
     if "drain" in body:
         return decode_zone_drain(body["drain"])
+    if "history" in body:
+        return decode_route_history(body["history"])
     return TargetRemoved(str(body["removed"]), int(body["revision"]))
 
 
@@ -214,6 +220,40 @@
     return ZoneDrain(str(body["zone"]), int(body["revision"]), bool(body["ended"]))
 
 
+def encode_route_history(history: RouteHistory) -> dict[str, Any]:
+    """Return a route history as JSON-compatible values."""
+    names: tuple[str, ...] = RouteHistory.__match_args__
+    return {name: getattr(history, name) for name in names}
+
+
+def decode_route_history(body: dict[str, Any]) -> RouteHistory:
+    """Return a route history from its encoded values."""
+    return RouteHistory(
+        int(body["shard"]),
+        decode_services(body["routes"]),
+        int(body["revision"]),
+        bool(body["removed"]),
+    )
+
+
+def decode_services(body: dict[str, Any]) -> dict[int, tuple[str, ...]]:
+    """Return the services of routes by the key of the route.
+
+    Raises
+    ------
+    TypeError, ValueError, AttributeError
+        If the body has another shape.
+    """
+    routes = {}
+    for key, services in body.items():
+        if not isinstance(services, list) or not all(
+            isinstance(service, str) for service in services
+        ):
+            raise ValueError(f"invalid services of route {key}: {services!r:.40}")
+        routes[int(key)] = tuple(services)
+    return routes
+
+
 def start_time_of(body: dict[str, Any]) -> int | None:
     """Return the start time of an encoded target, None if it is not given."""
     started = body.get("started")
--- a/citronspring/tokens/entries.py
+++ b/citronspring/tokens/entries.py
@@ -23,7 +23,7 @@
     from citronspring.endpoints import Endpoint
     from citronspring.tokens.entities import Route
 
-    Kind = TypeVar("Kind", "Target", "ZoneReader", "ZoneDrain")
+    Kind = TypeVar("Kind", "Target", "ZoneReader", "ZoneDrain", "RouteHistory")
 
 
 #: Revisions that fit into an epoch: a million per second for thirty years.
@@ -152,6 +152,20 @@
     ended: bool = False
 
 
+@record(eq=True)
+class RouteHistory:
+    """Current and earlier services of the routes of one shard."""
+
+    shard: int
+    #: Names of the services, sorted, by key of the route.
+    routes: dict[int, tuple[str, ...]]
+    #: Revision of the store at which the entry last changed; 0 for services that a host
+    #: knows and the store does not record.
+    revision: int
+    #: Whether the entry was removed from the store.
+    removed: bool = False
+
+
 @record
 class Unreadable:
     """An entry that cannot be decoded, as another program may have written it."""
@@ -162,11 +176,13 @@
     revision: int
     #: See `Target.started`; None if that cannot be decoded either.
     started: int | None = None
+    #: Shard of a route history; None for other entries.
+    shard: int | None = None
 
 
 if TYPE_CHECKING:
     #: An entry of the store, and a change to one.
-    Entry = Configuration | Target | ZoneReader | ZoneDrain | Unreadable
+    Entry = Configuration | Target | ZoneReader | ZoneDrain | RouteHistory | Unreadable
     Change = Entry | TargetRemoved | ReaderRemoved
     #: The same as hosts pass it on.
     FeedChange = (
@@ -174,6 +190,7 @@
         | Target
         | ZoneReader
         | ZoneDrain
+        | RouteHistory
         | Unreadable
         | TargetRemoved
         | ReaderRemoved
--- a/citronspring/tokens/entry_updates.py
+++ b/citronspring/tokens/entry_updates.py
@@ -8,7 +8,6 @@
     TARGET_CHANGED,
     TARGET_REMOVED,
     TOKEN_TAKEN,
-    ZONE_DRAIN_CHANGED,
 )
 from citronspring.light_stdlib import INFINITY, TYPE_CHECKING
 from citronspring.tokens.entities import token_of
@@ -16,6 +15,7 @@
     Configuration,
     ConfigurationChange,
     ReaderRemoved,
+    RouteHistory,
     Target,
     TargetRemoved,
     Unreadable,
@@ -59,14 +59,22 @@
         case ReaderRemoved():
             changed = remove_zone_reader(tables, change, actions)
         case ZoneDrain():
+            # Imported when a zone was drained; starting a host rarely needs it.
+            from citronspring.tokens.zone_drains import apply_zone_drain
+
             changed = apply_zone_drain(tables, change, actions)
+        case RouteHistory():
+            # Imported when the store has a route history; most have none.
+            from citronspring.tokens.route_history import apply_route_history
+
+            changed = apply_route_history(tables, change, now, actions)
         case Configuration():
-            difference = apply_configuration(tables, change, actions)
+            difference = apply_configuration(tables, change, now, actions)
             if difference is not None:
                 tables.change_log.pending.append(difference)
             return
         case ConfigurationChange():
-            changed = apply_configuration_change(tables, change, actions)
+            changed = apply_configuration_change(tables, change, now, actions)
         case TargetRemoved():
             changed = remove_target(tables, change, now, actions)
         case Target():
@@ -111,29 +119,6 @@
     return True
 
 
-def apply_zone_drain(tables: Tables, drain: ZoneDrain, actions: list[Action]) -> bool:
-    """Apply the drain state of a zone; return whether it changed anything.
-
-    The end of a drain is kept like its beginning. Otherwise a late answer that still
-    contains the drain would leave the zone unused until it is drained again.
-    """
-    known = tables.zone_drains.get(drain.zone)
-    if known is not None and known.revision >= drain.revision:
-        return False
-    tables.zone_drains[drain.zone] = drain
-    fields: dict[str, object] = {
-        "zone": drain.zone,
-        "drained": not drain.ended,
-        "revision": drain.revision,
-        "targets": sum(
-            row.target.zone == drain.zone and row.gone_at == INFINITY
-            for row in tables.targets.values()
-        ),
-    }
-    actions.append(Log(ZONE_DRAIN_CHANGED.number, fields))
-    return True
-
-
 def apply_target(
     tables: Tables, target: Target, now: float, actions: list[Action]
 ) -> bool:
@@ -217,6 +202,10 @@
     """
     fields: dict[str, object] = {"entry": entry.name, "reason": entry.reason}
     actions.append(Log(ENTRY_UNREADABLE.number, fields))
+    if entry.shard is not None:
+        from citronspring.tokens.route_history import lose_shard
+
+        return lose_shard(tables, entry.shard, entry.revision, now, actions)
     row = tables.targets.get(entry.name)
     if row is None or not is_of_later_start(row, entry.started):
         return False
@@ -330,6 +319,7 @@
     listed = set()
     readers = set()
     drained = set()
+    shards: set[int | None] = set()
     for entry in entries:
         apply_change(tables, entry, now, actions)
         match entry:
@@ -339,8 +329,11 @@
                 readers.add(entry.zone)
             case ZoneDrain():
                 drained.add(entry.zone)
+            case RouteHistory() if entry.revision:
+                shards.add(entry.shard)
             case Unreadable():
                 listed.add(entry.name)
+                shards.add(entry.shard)
     incomplete_services = check_restored_services(tables, revision, now)
     for target_id, row in list(tables.targets.items()):
         known = row.target
@@ -353,12 +346,16 @@
         apply_change(tables, TargetRemoved(target_id, revision), now, actions)
     for zone in tables.zone_readers.keys() - readers:
         apply_change(tables, ReaderRemoved(zone, revision), now, actions)
-    for zone in tables.drained_zones:
-        drained_since = tables.zone_drains[zone].revision
-        lost_in_restore = is_of_earlier_epoch(drained_since, revision)
-        if zone not in drained and drained_since <= revision and not lost_in_restore:
-            end = ZoneDrain(zone, revision, ended=True)
+    if tables.zone_drains:
+        from citronspring.tokens.zone_drains import missing_drains
+
+        for end in missing_drains(tables, drained, revision):
             apply_change(tables, end, now, actions)
+    if tables.route_history.shards:
+        from citronspring.tokens.route_history import missing_histories
+
+        for removal in missing_histories(tables, shards, revision):
+            apply_change(tables, removal, now, actions)
 
 
 def check_restored_services(tables: Tables, revision: int, now: float) -> set[str]:
--- a/citronspring/tokens/forwarding.py
+++ b/citronspring/tokens/forwarding.py
@@ -105,15 +105,21 @@
     flow = tables.flows.get(packet.flow)
     if flow is None or not flow.open:
         row = tables.by_token.get(packet.token)
-        reason = token_drop_reason(tables, packet, row)
-        if row is None or reason is not None:
-            actions.append(Drop(packet, reason or DropReason.UNKNOWN_TOKEN))
+        if row is None:
+            actions.append(Drop(packet, DropReason.UNKNOWN_TOKEN))
+            return
+        service = row.target.service
+        if not is_service_of_route(tables, packet.route, service, now):
+            reason = DropReason.FOREIGN_TOKEN
+            actions.append(Drop(packet, reason, route.name, service))
             return
         flow = bind_flow(tables, packet, route, flow, row, now)
         if flow is None:
             actions.append(Forward(packet, row))
             return
     update_flow(tables, packet, flow, now)
+    if tables.route_history.earlier:
+        count_earlier_service(tables, packet.route, flow.target.target.service)
     reason_to_reset = flow_reset_reason(tables, flow, packet, now)
     if reason_to_reset is not None:
         reset_flow(tables, packet, flow, reason_to_reset, now, actions)
@@ -123,15 +129,17 @@
         close_flow(tables, packet.flow, flow)
 
 
-def token_drop_reason(
-    tables: Tables, packet: Packet, row: TargetRow | None
-) -> DropReason | None:
-    """Return why a token is refused, None if it names a target of the route."""
-    if row is None:
-        return DropReason.UNKNOWN_TOKEN
-    if row.target.service not in tables.route_services[packet.route]:
-        return DropReason.FOREIGN_TOKEN
-    return None
+def is_service_of_route(tables: Tables, route: int, service: str, now: float) -> bool:
+    """Whether a route has a service, or had it and the host still remembers that."""
+    row = tables.route_services[route].get(service)
+    return row is not None and now < row.forget_at
+
+
+def count_earlier_service(tables: Tables, route: int, service: str) -> None:
+    """Count a packet whose route no longer names the service of its target."""
+    history = tables.route_history
+    if (route, service) in history.earlier:
+        history.packets[route] += 1
 
 
 def bind_flow(
--- a/citronspring/tokens/introspection.py
+++ b/citronspring/tokens/introspection.py
@@ -33,6 +33,7 @@
         "drained_zones": {
             zone: tables.zone_drains[zone].revision for zone in tables.drained_zones
         },
+        "earlier_services": earlier_services(tables, now),
         "zones": {
             name: {"suspect_for": seconds(row.suspect_until - now)}
             for name, row in sorted(tables.zones.items())
@@ -58,6 +59,27 @@
     }
 
 
+def earlier_services(tables: Tables, now: float) -> dict[str, dict[str, object]]:
+    """Return the former services that are remembered, by route."""
+    found: dict[str, dict[str, object]] = {}
+    for key, service in sorted(tables.route_history.earlier):
+        row = tables.route_services[key][service]
+        found.setdefault(tables.routes[key].name, {})[service] = {
+            "forgotten_in": seconds(row.forget_at - now),
+            "recorded": row.recorded,
+        }
+    return found
+
+
+def oldest_earlier_service(tables: Tables, now: float) -> float:
+    """Return the seconds since the oldest remembered former service was replaced."""
+    rows = [
+        tables.route_services[key][service]
+        for key, service in tables.route_history.earlier
+    ]
+    return max((now - row.earlier_since for row in rows), default=0.0)
+
+
 def seconds(value: float) -> float | None:
     """Return a rounded duration, None if it is not positive or unknown."""
     return round(value, 3) if 0 < value < INFINITY else None
@@ -71,6 +93,7 @@
         "store_failures": tables.reader.failures,
         "flows": len(tables.flows),
         "targets": len(tables.targets),
+        "earlier_service_age_seconds": oldest_earlier_service(tables, now),
     }
     lines = []
     for name, value in gauges.items():
@@ -84,6 +107,12 @@
     for zone in sorted(tables.zone_drains):
         drained = int(tables.is_drained(zone))
         lines.append(f'{PREFIX}_zone_drained{{zone="{zone}"}} {drained}')
+    lines.append(f"# TYPE {PREFIX}_earlier_service_packets_total counter")
+    for key, count in sorted(tables.route_history.packets.items()):
+        route = tables.routes[key].name if key in tables.routes else f"{key:x}"
+        lines.append(
+            f'{PREFIX}_earlier_service_packets_total{{route="{route}"}} {count}'
+        )
     lines.append(f"# TYPE {PREFIX}_events_total counter")
     for kind, count in sorted(tables.counters.items()):
         lines.append(f'{PREFIX}_events_total{{kind="{kind}"}} {count}')
--- a/citronspring/tokens/messages.py
+++ b/citronspring/tokens/messages.py
@@ -8,7 +8,13 @@
 if TYPE_CHECKING:
     from citronspring.endpoints import Endpoint
     from citronspring.tokens.entities import Packet
-    from citronspring.tokens.entries import Change, Configuration, Entry, FeedChange
+    from citronspring.tokens.entries import (
+        Change,
+        Configuration,
+        Entry,
+        FeedChange,
+        RouteHistory,
+    )
     from citronspring.tokens.rows import TargetRow
     from citronspring.tokens.suspicions import HostMessage
 
@@ -58,6 +64,10 @@
 
     packet: Packet
     reason: DropReason
+    #: Name of the route, and service of the target that the token names; empty if
+    #: they do not matter.
+    route: str = ""
+    service: str = ""
 
 
 @record
@@ -179,7 +189,7 @@
     """State of another host."""
 
     configuration: Configuration
-    #: Targets and zone drains.
+    #: Targets, zone drains and route histories.
     entries: tuple[Entry, ...]
     #: Revision of the store that the snapshot corresponds to.
     revision: int
@@ -255,7 +265,17 @@
     lease: int
 
 
-ElectionCall = GrantLease | ClaimZone | RenewLease | EndLease
+@record(eq=True)
+class WriteRouteHistory:
+    """Write shards of the route history, if none has changed since it was read.
+
+    The revision of each is the one that was read, 0 if there is no entry.
+    """
+
+    histories: tuple[RouteHistory, ...]
+
+
+ElectionCall = GrantLease | ClaimZone | RenewLease | EndLease | WriteRouteHistory
 
 
 @record(eq=True)
--- a/citronspring/tokens/peer_snapshot.py
+++ b/citronspring/tokens/peer_snapshot.py
@@ -9,13 +9,16 @@
     FORMAT_VERSION,
     decode_body,
     decode_configuration,
+    decode_route_history,
     decode_target,
     decode_zone_drain,
     encode_body,
     encode_route,
+    encode_route_history,
     encode_target,
     encode_zone_drain,
 )
+from citronspring.tokens.entries import RouteHistory
 from citronspring.tokens.messages import PeerSnapshot, Refused, Unanswered
 
 if TYPE_CHECKING:
@@ -42,10 +45,27 @@
             encode_target(row.target, max(row.warm_at - now, 0.0)) for row in rows
         ],
         "drains": [encode_zone_drain(drain) for drain in tables.zone_drains.values()],
+        "histories": encode_histories(tables),
     }
     return OK, encode_body(dumps(body))
 
 
+def encode_histories(tables: Tables) -> list[dict[str, Any]]:
+    """Return the route histories, and earlier services that the store does not record.
+
+    The latter have revision 0. The store may have been unreachable since a route's
+    services changed, and only hosts that run since then know the earlier ones.
+    """
+    histories = list(tables.route_history.shards.values())
+    unrecorded: dict[int, tuple[str, ...]] = {}
+    for key, service in sorted(tables.route_history.earlier):
+        if not tables.route_services[key][service].recorded:
+            unrecorded[key] = (*unrecorded.get(key, ()), service)
+    if unrecorded:
+        histories.append(RouteHistory(0, unrecorded, 0))
+    return [encode_route_history(history) for history in histories]
+
+
 def encode_configuration(tables: Tables) -> dict[str, Any]:
     """Return the current configuration as JSON-compatible values."""
     return {
@@ -63,9 +83,10 @@
         found = decode_body(body)
         targets = [decode_target(target) for target in found["targets"]]
         drains = [decode_zone_drain(drain) for drain in found.get("drains", ())]
+        histories = [decode_route_history(one) for one in found.get("histories", ())]
         return PeerSnapshot(
             decode_configuration(found["configuration"]),
-            (*targets, *drains),
+            (*targets, *drains, *histories),
             int(found["revision"]),
             float(found["age"]),
             complete=found.get("format") == FORMAT_VERSION,
--- a/citronspring/tokens/routes.py
+++ b/citronspring/tokens/routes.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from citronspring.events import CONFIGURATION_APPLIED
-from citronspring.light_stdlib import TYPE_CHECKING
+from citronspring.light_stdlib import INFINITY, TYPE_CHECKING
 from citronspring.tokens.entries import ConfigurationChange
 from citronspring.tokens.messages import Log
+from citronspring.tokens.rows import RouteServiceRow
 
 if TYPE_CHECKING:
     from citronspring.tokens.entities import Route
@@ -15,7 +16,7 @@
 
 
 def apply_configuration(
-    tables: Tables, configuration: Configuration, actions: list[Action]
+    tables: Tables, configuration: Configuration, now: float, actions: list[Action]
 ) -> ConfigurationChange | None:
     """Apply a configuration if it is newer than the current one.
 
@@ -25,12 +26,12 @@
     if configuration.revision <= tables.configuration:
         return None
     change = diff_configuration(tables.routes, tables.configuration, configuration)
-    apply_difference(tables, change, actions)
+    apply_difference(tables, change, now, actions)
     return change
 
 
 def apply_difference(
-    tables: Tables, change: ConfigurationChange, actions: list[Action]
+    tables: Tables, change: ConfigurationChange, now: float, actions: list[Action]
 ) -> None:
     """Update the current configuration by a difference.
 
@@ -46,7 +47,7 @@
     for key in change.removed:
         remove_route(tables, key)
     for route in change.routes:
-        set_route(tables, route)
+        set_route(tables, route, now, actions)
     fields["routes"] = len(tables.routes)
     actions.append(Log(CONFIGURATION_APPLIED.number, fields))
 
@@ -55,20 +56,60 @@
     """Remove a route if it exists."""
     route = tables.routes.pop(key, None)
     if route is not None:
-        del tables.route_services[key]
+        remove_services(tables, key, route)
         tables.answers.pop(key, None)
         count_priority(tables, route, -1)
 
 
-def set_route(tables: Tables, route: Route) -> None:
+def set_route(tables: Tables, route: Route, now: float, actions: list[Action]) -> None:
     """Add or replace a route."""
     known = tables.routes.get(route.key)
     if known is not None:
         count_priority(tables, known, -1)
+        tables.route_history.split_routes -= is_split(known)
     tables.routes[route.key] = route
     count_priority(tables, route, 1)
-    services = tables.route_services.setdefault(route.key, set())
-    services.update(share.service for share in route.shares)
+    set_services(tables, route, now, actions)
+
+
+def is_split(route: Route) -> bool:
+    """Whether a route has several services."""
+    return len(route.shares) > 1
+
+
+def remove_services(tables: Tables, key: int, route: Route) -> None:
+    """Remove the services of a removed route, also from the route history."""
+    history = tables.route_history
+    history.split_routes -= is_split(route)
+    history.unchecked.add(key)
+    for service in tables.route_services.pop(key):
+        history.earlier.discard((key, service))
+
+
+def set_services(
+    tables: Tables, route: Route, now: float, actions: list[Action]
+) -> None:
+    """Update the services of a route; those it no longer names are kept for a while."""
+    history = tables.route_history
+    rows = tables.route_services.setdefault(route.key, {})
+    named = {share.service for share in route.shares}
+    for service in named:
+        row = rows.get(service)
+        if row is None:
+            rows[service] = RouteServiceRow()
+        elif row.forget_at != INFINITY:
+            row.forget_at = row.earlier_since = INFINITY
+            history.earlier.discard((route.key, service))
+    history.unchecked.add(route.key)
+    if is_split(route):
+        if not history.split_routes:
+            history.unchecked.update(tables.routes)
+        history.split_routes += 1
+    if history.shards or len(rows) > len(named):
+        # Imported on first use; most starts need no earlier services.
+        from citronspring.tokens.route_history import remember_services
+
+        remember_services(tables, route, now, actions)
 
 
 def count_priority(tables: Tables, route: Route, step: int) -> None:
@@ -98,7 +139,7 @@
 
 
 def apply_configuration_change(
-    tables: Tables, change: ConfigurationChange, actions: list[Action]
+    tables: Tables, change: ConfigurationChange, now: float, actions: list[Action]
 ) -> bool:
     """Apply a difference to the current configuration; return whether it was newer.
 
@@ -106,5 +147,5 @@
     """
     if change.revision <= tables.configuration:
         return False
-    apply_difference(tables, change, actions)
+    apply_difference(tables, change, now, actions)
     return True
--- a/citronspring/tokens/rows.py
+++ b/citronspring/tokens/rows.py
@@ -83,6 +83,18 @@
     answered_at: float = -INFINITY
 
 
+@record
+class RouteServiceRow:
+    """A service that a route has or had before."""
+
+    #: Deadline at which it is forgotten; infinite while the configuration names it.
+    forget_at: float = INFINITY
+    #: Whether the store records it.
+    recorded: bool = False
+    #: When this host learned that the configuration no longer names it.
+    earlier_since: float = INFINITY
+
+
 @record
 class AnswerRow:
     """Answer sizes of a route, as measured by this host."""
--- a/citronspring/tokens/tables.py
+++ b/citronspring/tokens/tables.py
@@ -9,8 +9,14 @@
 
 if TYPE_CHECKING:
     from citronspring.tokens.entities import Route
-    from citronspring.tokens.entries import Entry, FeedChange, ZoneDrain, ZoneReader
-    from citronspring.tokens.rows import FlowRow, TargetRow
+    from citronspring.tokens.entries import (
+        Entry,
+        FeedChange,
+        RouteHistory,
+        ZoneDrain,
+        ZoneReader,
+    )
+    from citronspring.tokens.rows import FlowRow, RouteServiceRow, TargetRow
 
 #: Largest number of flow rows of a host; further flows are forwarded by their token
 #: alone. At about 500 bytes per row this is 25 MB of the 120 MB that the smallest host
@@ -171,6 +177,34 @@
     bucket_updated_at: float = -INFINITY
 
 
+@record
+class RouteHistoryState:
+    """What the store records of routes' services, and this host's writes of that."""
+
+    #: Shards as last read from the store.
+    shards: dict[int, RouteHistory] = field(default_factory=dict)
+    #: Number of routes with several services.
+    split_routes: int = 0
+    #: Earlier services that are still remembered, as (route, service).
+    earlier: set[tuple[int, str]] = field(default_factory=set)
+    #: Keys of routes whose record may have to be written.
+    unchecked: set[int] = field(default_factory=set)
+    #: When a shard was last applied, and when a write was last answered.
+    applied_at: float = -INFINITY
+    answered_at: float = -INFINITY
+    #: Time of the next write; infinite until one is planned.
+    write_at: float = INFINITY
+    #: Number of planned delays, from which the next random delay is drawn.
+    draws: int = 0
+    #: Packets forwarded to targets of earlier services, by route.
+    packets: Counter[int] = field(default_factory=Counter)
+
+    @property
+    def is_used(self) -> bool:
+        """Whether the store records services, or has to."""
+        return bool(self.shards or self.earlier or self.split_routes)
+
+
 def make_histograms() -> dict[str, Histogram]:
     """Return the histograms of a host."""
     names = ("decision", "opening_answered", "store_call")
@@ -189,9 +223,12 @@
     configuration: int = 0
     idle_timeout: float = 15.0
     routes: dict[int, Route] = field(default_factory=dict)
-    #: Services that each route has had since this process started. A flow stays on its
-    #: target when its route switches to another service.
-    route_services: dict[int, set[str]] = field(default_factory=dict)
+    #: Services that each route has or had before, by name. A flow stays on its target
+    #: when its route switches to another service.
+    route_services: dict[int, dict[str, RouteServiceRow]] = field(default_factory=dict)
+    route_history: RouteHistoryState = field(default_factory=RouteHistoryState)
+    #: Longest lifetime of a flow in seconds.
+    flow_lifetime: float = 3600.0
     targets: dict[str, TargetRow] = field(default_factory=dict)
     by_token: dict[int, TargetRow] = field(default_factory=dict)
     #: Registered targets of each service, including those that are leaving.
--- a/soak/store.py
+++ b/soak/store.py
@@ -154,7 +154,8 @@
             item = self.items.get(condition["key"], {"revision": 0})
             if item["revision"] != condition["revision"]:
                 return CONDITION_FAILED, {"items": [item]}
-        if any(write["lease"] not in self.leases for write in body["writes"]):
+        leases = {write["lease"] for write in body["writes"]} - {0}
+        if not leases <= self.leases.keys():
             return NOT_FOUND, {}
         for write in body["writes"]:
             self.write(write["key"], write["value"], write["lease"])
