--- a/tests/test_platform/test_settings.py
+++ b/tests/test_platform/test_settings.py
@@ -58,6 +58,13 @@
     assert (small.processor_share, small.link_rate) == (0.163, 625_000.0)
 
 
+def test_longest_lifetime_of_a_flow():
+    """Former services are remembered for that long; unknown, for an hour."""
+    assert decode_settings(json.dumps(VALID_SETTINGS)).flow_lifetime == 3600.0
+    for path in ("flow_ttl_s", "bounds.flow_ttl_s"):
+        assert decode_settings(settings_with(path, 60)).flow_lifetime == 60.0
+
+
 @pytest.mark.parametrize("name", ["drain_ms", "evacuate_ms"])
 def test_tightest_bound_of_a_change_counts(name):
     """The bound for draining a zone is shorter than that for a configuration.
@@ -100,6 +107,8 @@
         ("seeds", "10.1.0.10:8166"),
         ("seeds", ["host:1"]),
         ("platform.addr", None),
+        ("flow_ttl_s", 0),
+        ("bounds.flow_ttl_s", "long"),
     ],
 )
 def test_bad_field_is_named_with_its_value_and_a_remedy(path, value):
