Change services of a route in the soak, and show it in explain

Cause: no run with real processes changed a route's services, and explain did not show which services a host took a route to have.

--- a/citronspring/trail.py
+++ b/citronspring/trail.py
@@ -9,8 +9,12 @@
 from citronspring.events import (
     CATALOGUE,
     CONFIGURATION_APPLIED,
+    HISTORY_WRITE_FAILED,
+    HISTORY_WRITTEN,
     LEAVING,
     LINES_LEFT_OUT,
+    SERVICE_FORGOTTEN,
+    SERVICE_REPLACED,
     STARTED,
     STOPPED,
     STORE_HISTORY_LOST,
@@ -33,6 +37,8 @@
     event.number
     for event in (
         CONFIGURATION_APPLIED,
+        HISTORY_WRITE_FAILED,
+        HISTORY_WRITTEN,
         LEAVING,
         LINES_LEFT_OUT,
         STARTED,
@@ -45,6 +51,9 @@
 )
 TARGET_EVENTS = frozenset((TARGET_CHANGED.number, TARGET_REMOVED.number))
 
+#: Events that show which services a route had; they may be an hour older than a drop.
+ROUTE_EVENTS = frozenset((SERVICE_REPLACED.number, SERVICE_FORGOTTEN.number))
+
 #: Keys of every line; the others are the fields of the event.
 COMMON_KEYS = frozenset(("time", "host", "number", "event", "level"))
 
@@ -81,8 +90,8 @@
     Parameters
     ----------
     name : str
-        ``caller:port>service:port`` of a flow or a part of it, the id of a target, or
-        that of a host.
+        ``caller:port>service:port`` of a flow or a part of it, the id of a target or a
+        host, or the name of a route.
     texts : iterable of str
         Lines of the logs of any number of hosts, in any order.
     """
@@ -100,11 +109,11 @@
 
 
 def is_about(name: str, line: dict[str, Any]) -> bool:
-    """Whether a line is about a flow, target or host."""
+    """Whether a line is about a flow, target, host or route."""
     flow = line.get("flow")
     if isinstance(flow, str) and name in flow:
         return True
-    return name in (line.get("target"), line.get("host"), line.get("entry"))
+    return name in [line.get(key) for key in ("target", "host", "entry", "route")]
 
 
 def context_lines(
@@ -117,16 +126,26 @@
     )
     hosts = {line.get("host") for line in matching}
     targets = {line.get("target") for line in matching} - {None}
+    routes = {line.get("route") for line in matching} - {None}
     return [
         line
         for line in lines
-        if begin <= float(line["time"]) <= end
+        if float(line["time"]) <= end
         and line.get("host") in hosts
         and line not in matching
-        and (line["number"] in HOST_EVENTS or concerns_targets(line, targets))
+        and (
+            concerns_routes(line, routes)
+            or begin <= float(line["time"])
+            and (line["number"] in HOST_EVENTS or concerns_targets(line, targets))
+        )
     ]
 
 
+def concerns_routes(line: dict[str, Any], routes: set[Any]) -> bool:
+    """Whether a line reports a change of the services of one of the given routes."""
+    return line["number"] in ROUTE_EVENTS and line.get("route") in routes
+
+
 def concerns_targets(line: dict[str, Any], targets: set[Any]) -> bool:
     """Whether a line reports a change of one of the given targets."""
     return line["number"] in TARGET_EVENTS and line.get("target") in targets
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -35,6 +35,16 @@
 #: `ZONE_FAULTS` and, twice as likely as the others, restores of the store.
 RESTORE_FAULTS = (*ZONE_FAULTS, "restore", "restore")
 
+#: Faults of hosts and targets, and changes of a route's services.
+SHARE_FAULTS = ("kill", "stop", "crash", "release", "shares", "shares")
+
+#: Services of the streams, one of which is chosen at each change.
+SERVICE_CHOICES = (("desk",), ("archive",), ("desk", "archive"))
+
+#: Seconds after a change of services until all hosts are killed, and until they start.
+SHARES_KILL_DELAY = 3.5
+RESTART_DELAY = 0.5
+
 #: Seconds for which the store refuses calls before it is restored, and within which
 #: operators and targets then rewrite what it has lost.
 RESTORE_OUTAGE_SECONDS = 0.4
@@ -79,6 +89,8 @@
         case "change":
             soak.change_configuration()
             host.signal(signal.SIGHUP)
+        case "shares":
+            change_services(soak)
         case "proxy":
             modes = (Mode.DELAY, Mode.SILENT, Mode.ONE_WAY, Mode.RESET)
             host.proxy.set_mode(soak.clock.rng.choice(modes))
@@ -105,6 +117,23 @@
     soak.clock.after(seconds, undo)
 
 
+def change_services(soak: Soak) -> None:
+    """Change the services of the streams, and later kill and restart all hosts."""
+    others = [one for one in SERVICE_CHOICES if one != soak.services]
+    soak.services = soak.clock.rng.choice(others)
+    soak.shares_changed_at = soak.clock.now
+    soak.change_configuration()
+    undo_later(soak, SHARES_KILL_DELAY, lambda: restart_all(soak))
+
+
+def restart_all(soak: Soak) -> None:
+    """Kill all hosts at once, and start them again."""
+    for host in soak.hosts:
+        if not host.stopping:
+            host.kill()
+            undo_later(soak, RESTART_DELAY, lambda one=host: restart(soak, one))
+
+
 def restore_store(soak: Soak, seconds: float) -> None:
     """Back up the store, write to it, and restore the backup after some seconds."""
     backup = soak.store.backup()
--- a/soak/run.py
+++ b/soak/run.py
@@ -26,7 +26,7 @@
 )
 from citronspring.tcp_flags import RST, SYN
 from soak.clock import RealClock
-from soak.faults import FAULTS, inject_random_fault
+from soak.faults import FAULTS, change_services, inject_random_fault
 from soak.hosts import HostProcess, loopback_net
 from soak.proxy import Proxy
 from soak.store import StoreStandIn, serve
@@ -45,6 +45,9 @@
 #: Seconds after a fault during which guarantees with a time bound are not checked.
 SETTLING_SECONDS = 4.5
 
+#: Seconds after a change of services in which a host may not know a new one yet.
+SHARES_SECONDS = 3.0
+
 #: Seconds between two checks of the hosts, and callers that start per second.
 CHECK_INTERVAL = 0.5
 CALLERS_PER_SECOND = 12.0
@@ -75,6 +78,13 @@
     ready: set[str] = field(default_factory=set)
     loss: float = 0.0
     changed_at: float = 0.0
+    #: Requests that a stream sends over one flow.
+    stream_requests: int = 6
+    #: Services of the streams, and when they last changed.
+    services: tuple[str, ...] = ("desk",)
+    shares_changed_at: float = -SETTLING_SECONDS
+    #: Packets that each process of a host has dropped for their token.
+    foreign_drops: dict[tuple[str, int], int] = field(default_factory=dict)
     #: Kinds of faults from which the random faults are chosen.
     fault_kinds: tuple[str, ...] = FAULTS
     #: Time at which the drain of each drained zone began.
@@ -207,8 +217,12 @@
             }
             for key in (STREAMS, ORDERS)
         ]
-        for key in (STREAMS, ORDERS):
-            self.checker.services.setdefault(key, set()).add("desk")
+        if self.services != ("desk",):
+            routes[0]["backends"] = [
+                {"service": name, "weight": 1} for name in self.services
+            ]
+        for key, services in ((STREAMS, self.services), (ORDERS, ("desk",))):
+            self.checker.services.setdefault(key, set()).update(services)
         limits = {"idle_timeout_ms": 15000}
         body = {"version": self.revision, "routes": routes, "limits": limits}
         self.store.put("op/config", body)
@@ -227,7 +241,7 @@
             route,
             route == STREAMS,
             DEADLINES[route],
-            6 if route == STREAMS else 1,
+            self.stream_requests if route == STREAMS else 1,
             1024 + self.callers * 8,
         )
         caller.start()
@@ -270,10 +284,19 @@
         if revision < self.highest_revisions.get(key, 0):
             self.record_violation(f"{host.name} went back to revision {revision}")
         self.highest_revisions[key] = max(revision, self.highest_revisions.get(key, 0))
+        self.check_foreign_drops(key, state["counters"])
         late = self.clock.now - self.changed_at > SETTLING_SECONDS
         if self.is_settled and late and revision < self.revision and not host.stopping:
             self.record_violation(f"{host.name} is behind at revision {revision}")
 
+    def check_foreign_drops(self, key: tuple[str, int], counters: dict) -> None:
+        """Check that no host takes the token of a former service for a foreign one."""
+        drops = counters.get("dropped foreign-token", 0)
+        late = self.clock.now - self.shares_changed_at > SHARES_SECONDS
+        if late and drops > self.foreign_drops.get(key, 0):
+            self.record_violation(f"{key[0]} dropped {drops} packets as foreign")
+        self.foreign_drops[key] = drops
+
     def check_last_requests(self, end: float) -> None:
         """Check that enough of the last requests were served."""
         last = [
@@ -352,6 +375,10 @@
     for zone in ZONES:
         soak.add_target("desk", zone)
         soak.add_target("desk", zone)
+        if "shares" in soak.fault_kinds:
+            # Flows last for longer than the restart of all hosts.
+            soak.stream_requests = 60
+            soak.add_target("archive", zone)
     for host in soak.hosts:
         host.seeds = [other.peer_endpoint for other in soak.hosts]
         host.start()
@@ -368,6 +395,9 @@
         STARTUP_SECONDS + 2.0,
         lambda: inject_random_fault(soak, end - FAULT_FREE_SECONDS - 6.0),
     )
+    if "shares" in soak.fault_kinds:
+        # At least one change, since the few faults of a run are random.
+        clock.at(STARTUP_SECONDS + 1.0, lambda: change_services(soak))
     clock.run_until(end + 2.0)
     soak.check_last_requests(end)
     soak.violations += soak.checker.violations
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,7 +5,7 @@
 from concurrent.futures import ProcessPoolExecutor
 from itertools import repeat
 
-from soak.faults import FAULTS, RESTORE_FAULTS
+from soak.faults import FAULTS, RESTORE_FAULTS, SHARE_FAULTS
 from soak.run import run_seed
 
 #: Seeds that once violated a guarantee, all in the same way: after a pause of a host,
@@ -25,6 +25,10 @@
 RESTORE_SEEDS = (0, 1, 4, 8)
 
 
+#: Seeds in which the services of a route change and all hosts are killed.
+SHARE_SEEDS = (0, 1, 2)
+
+
 def verdict(seed, kinds=FAULTS):
     """Run a seed; return its violations, its faults and its number of requests."""
     soak = run_seed(seed, SECONDS, kinds)
@@ -45,3 +49,12 @@
         for violations, faults, requests in runs:
             assert violations == [], faults
             assert requests > 100
+
+
+def test_flows_stay_when_services_change():
+    """Hosts that start after a change of services drop flows placed before it."""
+    with ProcessPoolExecutor(JOBS) as pool:
+        runs = pool.map(verdict, SHARE_SEEDS, repeat(SHARE_FAULTS))
+        for violations, faults, requests in runs:
+            assert violations == [], faults
+            assert requests > 100
--- a/tests/test_trail.py
+++ b/tests/test_trail.py
@@ -46,6 +46,17 @@
     assert "zone-drain-changed" in events
 
 
+def test_packet_of_a_former_service():
+    """A stream broke off: its host had forgotten the former service of the route."""
+    trail = trail_of("100.64.0.5:40031", "foreign-token.log")
+    last = trail.lines[-1]
+    assert (last["reason"], last["service"]) == ("foreign-token", "desk")
+    events = [line["event"] for line in trail.lines]
+    assert events[0] == "service-replaced"
+    assert "service-forgotten" in events
+    assert trail_of("streams", "foreign-token.log").lines[-1] == last
+
+
 def test_host_with_old_configuration():
     """A new address was not answered because its host could not read the store."""
     trail = trail_of("100.64.0.3:40020", "old-configuration.log")
