Change services under random faults in the emulator

Cause: the safeguards of the route history had no mutants, and no random faults ran beside changes of services. The checker holds a host that has just started to its first list, and leaves out hosts, links and stores that are disturbed.

--- a/citronspring/emulator/checker.py
+++ b/citronspring/emulator/checker.py
@@ -176,7 +176,11 @@
             return
         issued = packet.token == token_of(owner.incarnation)
         named = owner.service in self.services.get(packet.route, set())
-        if issued and named and self.settled(self.shares_changed_at):
+        # A host that has just started knows the former services from its first list.
+        informed = self.surroundings_undisturbed(host) and (
+            host.disturbed_at == host.started_at or self.settled(host.disturbed_at)
+        )
+        if issued and named and informed and self.settled(self.shares_changed_at):
             detail = f"{host.host_id} dropped a packet for {owner.target_id}"
             self.report_violation("flows stay", detail)
 
@@ -246,6 +250,10 @@
 
     def host_undisturbed(self, host: EmulatedHost) -> bool:
         """Return whether a host, its links and the store are healthy and settled."""
+        return self.settled(host.disturbed_at) and self.surroundings_undisturbed(host)
+
+    def surroundings_undisturbed(self, host: EmulatedHost) -> bool:
+        """Return whether a host's links and the store are healthy and settled."""
         store = self.store
         store_healthy = (
             store.outage is None
@@ -255,7 +263,6 @@
         return (
             store_healthy
             and self.settled(store.disturbed_at)
-            and self.settled(host.disturbed_at)
             and not host.frozen
             and host.host_id not in store.partitioned_hosts
             and self.links_undisturbed(host.zone)
--- a/citronspring/emulator/hosts.py
+++ b/citronspring/emulator/hosts.py
@@ -77,6 +77,8 @@
     store_call_pending: bool = False
     #: Time of the last disturbance: a start, kill, freeze, resumption or partition.
     disturbed_at: float = -100.0
+    #: Time of the last start.
+    started_at: float = -100.0
     seed: int = 0
     #: Hosts that it may ask for a peer snapshot.
     peers: list[EmulatedHost] = field(default_factory=list)
@@ -100,7 +102,7 @@
         self.seed = seed_of(self.host_id)
         self.boot += 1
         self.frozen = self.store_call_pending = self.election_call_pending = False
-        self.disturbed_at = self.clock.now
+        self.disturbed_at = self.started_at = self.clock.now
         boot = self.boot
         self.clock.after(START_SECONDS, lambda: self.begin_serving(boot))
 
--- a/tests/test_emulator/test_shares.py
+++ b/tests/test_emulator/test_shares.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from citronspring.emulator.run import run_seed
+from citronspring.emulator.share_faults import SHARE_KINDS
 from citronspring.emulator.world import STREAMS, TRAFFIC_START, Sizes, World
 
 #: Seconds after a change of services at which all hosts are killed.
@@ -47,3 +49,44 @@
     """
     violations = run_changes(changes).checker.violations
     assert violations == []
+
+
+#: Only the faults that change services or restore the store, so that each run has some.
+ONLY_CHANGES = {
+    kind: action
+    for kind, action in SHARE_KINDS.items()
+    if kind.startswith(("change-services", "restore", "kill"))
+}
+
+SEEDS = range(12)
+
+
+@pytest.mark.parametrize("kinds", [SHARE_KINDS, ONLY_CHANGES], ids=["all", "changes"])
+@pytest.mark.parametrize("seed", SEEDS)
+def test_guarantees_hold_when_services_change(seed, kinds):
+    sizes = Sizes(hosts_per_zone=3, warmup_seconds=2.0, stream_requests=30)
+    outcome = run_seed(seed, sizes, kinds=kinds)
+    assert outcome.violations == [], outcome.faults_text
+
+
+def ignore_recorded_services(patch):
+    patch("citronspring.tokens.route_history.mark_recorded", lambda *arguments: None)
+    patch("citronspring.tokens.route_history.recorded_services", lambda *arguments: ())
+
+
+def record_nothing(patch):
+    patch("citronspring.tokens.route_history.may_write", lambda tables: False)
+
+
+def forget_at_once(patch):
+    patch("citronspring.tokens.route_history.FORGET_MARGIN", -3600.0)
+
+
+@pytest.mark.parametrize(
+    "mutant", [ignore_recorded_services, record_nothing, forget_at_once]
+)
+def test_checker_detects(mutant, monkeypatch):
+    """Without the record of former services, flows break as all hosts restart."""
+    mutant(monkeypatch.setattr)
+    violations = run_changes([("archive",)]).checker.violations
+    assert any("flows stay" in line for line in violations)
