Check only the changed route at a change of weights

Cause: with exactly one route of several services, each change of its weights counted it anew as the first one and compared the records of all routes, 4 to 13 ms at 2,900 routes. Change: only a route that was not split before counts as the first. Result: a test of the routes that are compared, and one of the distance between two writes of a host.

--- a/citronspring/tokens/routes.py
+++ b/citronspring/tokens/routes.py
@@ -66,9 +66,9 @@
     known = tables.routes.get(route.key)
     if known is not None:
         count_priority(tables, known, -1)
-        tables.route_history.split_routes -= is_split(known)
     tables.routes[route.key] = route
     count_priority(tables, route, 1)
+    note_split(tables, known, route)
     set_services(tables, route, now, actions)
 
 
@@ -77,6 +77,15 @@
     return len(route.shares) > 1
 
 
+def note_split(tables: Tables, before: Route | None, route: Route) -> None:
+    """Count a route with several services; with the first one, all are recorded."""
+    history = tables.route_history
+    was_split = before is not None and is_split(before)
+    history.split_routes += is_split(route) - was_split
+    if history.split_routes == 1 and is_split(route) and not was_split:
+        history.unchecked.update(tables.routes)
+
+
 def remove_services(tables: Tables, key: int, route: Route) -> None:
     """Remove the services of a removed route, also from the route history."""
     history = tables.route_history
@@ -101,10 +110,6 @@
             row.forget_at = row.earlier_since = INFINITY
             history.earlier.discard((route.key, service))
     history.unchecked.add(route.key)
-    if is_split(route):
-        if not history.split_routes:
-            history.unchecked.update(tables.routes)
-        history.split_routes += 1
     if history.shards or len(rows) > len(named):
         # Imported on first use; most starts need no earlier services.
         from citronspring.tokens.route_history import remember_services
--- a/tests/test_tokens/test_route_history.py
+++ b/tests/test_tokens/test_route_history.py
@@ -35,7 +35,12 @@
     Unanswered,
     WriteRouteHistory,
 )
-from citronspring.tokens.route_history import FORGET_MARGIN, shard_of
+from citronspring.tokens.route_history import (
+    FORGET_MARGIN,
+    MAX_SHARDS_PER_WRITE,
+    SHARDS,
+    shard_of,
+)
 from tests.test_tokens.driver import (
     ORDERS,
     PREVIEWS,
@@ -298,6 +303,36 @@
     assert store.recorded() == ("archive", "previews")
 
 
+def test_change_of_weights_checks_one_route():
+    """Comparing all routes at each change of weights would stall a small host."""
+    store = Store("previews", "archive")
+    reader = store.start_reader()
+    write_all(store, reader)
+    store.change_services("archive", "previews")
+    assert reader.tables.route_history.unchecked == {PREVIEWS}
+    assert reader.tables.route_history.split_routes == 1
+    assert next_write(reader) is None
+
+
+def test_writes_of_a_host_are_apart():
+    """All routes are recorded at once; a burst of large writes would fill a link."""
+    store = Store("previews")
+    reader = store.start_reader()
+    store.revision += 1
+    routes = [make_route(key) for key in range(300)]
+    store.configuration = make_configuration(2, (*routes, split_route("a", "b")))
+    store.deliver(store.configuration)
+    sent_at = []
+    while (call := next_write(reader)) is not None:
+        sent_at.append(reader.now)
+        assert len(call.histories) <= MAX_SHARDS_PER_WRITE
+        finish(reader, call, store.write(call))
+    assert len(sent_at) == SHARDS / MAX_SHARDS_PER_WRITE
+    gaps = [after - before for before, after in zip(sent_at, sent_at[1:], strict=False)]
+    assert min(gaps) >= 1.0
+    assert sum(len(shard.routes) for shard in store.shards.values()) == 301
+
+
 def test_writes_wait_until_the_previous_one_was_read():
     """A slow watch would make the host write the same again, in vain."""
     store = Store("previews")
