Test a restart after a change of services with a real process

Cause: only the soak ran the record of services over real sockets. Change: a test changes a route's service, kills the host and starts it again; the flow goes on, and the drop of a foreign token names route and service.

--- a/tests/test_platform/test_process.py
+++ b/tests/test_platform/test_process.py
@@ -24,7 +24,7 @@
     eventually,
     packet,
 )
-from tests.test_platform.test_store import CONFIGURATION, ROUTE
+from tests.test_platform.test_store import CONFIGURATION, ROUTE, TARGET
 
 
 @pytest.fixture
@@ -151,6 +151,35 @@
     eventually(lambda: serving.logged("opening-refused"))
 
 
+def test_flow_of_a_former_service_survives_a_restart(serving):
+    """Operators change a route's service, and the host is killed and started again.
+
+    It learns the former service from the store, where it had recorded it before. The
+    token of a service that the route never had is dropped, with both names in the log.
+    """
+    serving.send(packet(SYN))
+    token = struct.unpack(">I", serving.target.recv(2048)[17:21])[0]
+    eventually(lambda: serving.logged("lease-taken"))
+    routes = [{**ROUTE, "service": "archive"}]
+    serving.store.put("op/config", {**CONFIGURATION, "version": 9, "routes": routes})
+    eventually(lambda: serving.logged("route-history-written"))
+    serving.process.kill()
+    serving.process.wait()
+    port = serving.target.getsockname()[1]
+    foreign = {**TARGET, "service": "other", "addr": f"127.0.0.1:{port}"}
+    serving.store.put("servers/i-77", foreign)
+    serving.start(serving.store_port)
+    eventually(lambda: len(serving.logged("started")) == 2 and serving.status() == 200)
+    serving.send(packet(ACK, seq=2, ack=5, token=0x77, payload=b"GET"))
+    (line,) = eventually(lambda: serving.logged("packet-dropped"))
+    names = line["reason"], line["route"], line["service"]
+    assert names == ("foreign-token", "r-1", "other")
+    data = packet(ACK, seq=2, ack=5, token=token, payload=b"GET")
+    serving.send(data)
+    # Copies of the unanswered opening may still be queued.
+    eventually(lambda: serving.target.recv(2048)[8:] == data)
+
+
 def test_bad_settings_end_the_process_with_a_remedy(tmp_path):
     path = tmp_path / "settings"
     path.write_text("{}")
