--- a/citronspring/daemons/token_host.py
+++ b/citronspring/daemons/token_host.py
@@ -105,7 +105,7 @@
             ReaderTimes.from_settings(settings),
             len(settings.peers),
         )
-        self.apply_link_rate(settings)
+        self.apply_limits(settings)
         # The first iteration lasts until packets are read: packets queued since the
         # start for longer than a stall are too old to be placed.
         self.core.begin_iteration(self.started_at)
@@ -138,8 +138,9 @@
         self.settings_version = adapter.settings_version()
         self.settings_check_at = self.started_at + SETTINGS_INTERVAL
 
-    def apply_link_rate(self, settings: HostSettings) -> None:
-        """Limit what followers and new flows may use of the host's link."""
+    def apply_limits(self, settings: HostSettings) -> None:
+        """Apply the lifetime of flows, and the limits of the host's link."""
+        self.core.tables.flow_lifetime = settings.flow_lifetime
         self.core.tables.change_log.rate = LINK_SHARE * settings.link_rate
         self.core.set_link_limit(settings.link_limit, boot_clock())
 
@@ -275,6 +276,8 @@
             "reason": action.reason.value,
             "token": packet.token,
         }
+        if action.route:
+            fields["route"], fields["service"] = action.route, action.service
         self.write(PACKET_DROPPED.number, fields)
 
     def send(self, data: bytes, address: tuple[str, int]) -> None:
@@ -381,7 +384,7 @@
         self.write(SETTINGS_READ.number, {"changed": changed})
         self.settings = settings
         self.calls.apply_settings(settings)
-        self.apply_link_rate(settings)
+        self.apply_limits(settings)
         self.core.times = ReaderTimes.from_settings(settings)
 
     def on_dump(self, number: int, frame: object) -> None:
--- a/citronspring/tokens/introspection.py
+++ b/citronspring/tokens/introspection.py
@@ -38,6 +38,7 @@
         "drained_zones": {
             zone: tables.zone_drains[zone].revision for zone in tables.drained_zones
         },
+        "earlier_services": earlier_services(tables, now),
         "zones": {
             name: {"suspect_for": seconds(row.suspect_until - now)}
             for name, row in sorted(tables.zones.items())
@@ -76,6 +77,27 @@
     }
 
 
+def earlier_services(tables: Tables, now: float) -> dict[str, dict[str, object]]:
+    """Return the former services that are remembered, by route."""
+    found: dict[str, dict[str, object]] = {}
+    for key, service in sorted(tables.route_history.earlier):
+        row = tables.route_services[key][service]
+        found.setdefault(tables.routes[key].name, {})[service] = {
+            "forgotten_in": seconds(row.forget_at - now),
+            "recorded": row.recorded,
+        }
+    return found
+
+
+def oldest_earlier_service(tables: Tables, now: float) -> float:
+    """Return the seconds since the oldest remembered former service was replaced."""
+    rows = [
+        tables.route_services[key][service]
+        for key, service in tables.route_history.earlier
+    ]
+    return max((now - row.earlier_since for row in rows), default=0.0)
+
+
 def seconds(value: float) -> float | None:
     """Return a rounded duration, None if it is not positive or unknown."""
     return round(value, 3) if 0 < value < INFINITY else None
@@ -96,6 +118,7 @@
         "targets": len(tables.targets),
         "link_utilization": link_utilization(tables, now),
         "expected_upload_bytes": tables.uploads.remaining,
+        "earlier_service_age_seconds": oldest_earlier_service(tables, now),
     }
     lines = []
     for name, value in gauges.items():
@@ -113,6 +136,12 @@
     for direction in ("received", "sent"):
         count = getattr(tables.link_usage, direction)
         lines.append(f'{PREFIX}_link_bytes_total{{direction="{direction}"}} {count}')
+    lines.append(f"# TYPE {PREFIX}_earlier_service_packets_total counter")
+    for key, count in sorted(tables.route_history.packets.items()):
+        route = tables.routes[key].name if key in tables.routes else f"{key:x}"
+        lines.append(
+            f'{PREFIX}_earlier_service_packets_total{{route="{route}"}} {count}'
+        )
     lines.append(f"# TYPE {PREFIX}_events_total counter")
     for kind, count in sorted(tables.counters.items()):
         lines.append(f'{PREFIX}_events_total{{kind="{kind}"}} {count}')
