Close the listener of the follower server in the benchmark

The benchmark of the token mode closed host.peer_endpoint.listener after the follower server had got its own class, and ended with an AttributeError.

--- a/benchmarks/tokens.py
+++ b/benchmarks/tokens.py
@@ -216,7 +216,7 @@
                 discard_datagrams(sink)
         host.packets.close()
         host.server.listener.close()
-        host.peer_endpoint.listener.close()
+        host.follower_server.server.listener.close()
     return statistics.median(host_times), statistics.median(bare_times)
 
 
