Keep flows in their own zone by the bytes that they bring

Cause: the preference for the home zone was a constant of 0.2 requests per slot, the same for a stream of 2 KB and an upload of 40 KB, so uploads left as soon as one request was open at each home target.

Change: a host learns the usual bytes of a route's requests and answers. Leaving the home zone costs zone_crossing_cost (a host setting, 0.2 if missing) for up to 4 KB and grows in proportion, up to one request per slot; beyond that the home zone is the slower way. Idle flows count less in that comparison the larger the requests. Targets of the home zone are kept apart from the others, and those are examined only if home is not better by itself.

--- a/citronspring/daemons/token_host.py
+++ b/citronspring/daemons/token_host.py
@@ -110,6 +110,7 @@
             settings.host_id, settings.zone, reader_times(settings), len(settings.peers)
         )
         self.limit_follower_rate(settings)
+        self.core.tables.zone_crossing_cost = settings.zone_crossing_cost
         # The first iteration lasts until packets are read: packets queued since the
         # start for longer than a stall are too old to be placed.
         self.core.begin_iteration(self.started_at)
@@ -390,6 +391,7 @@
         self.settings = settings
         self.calls.apply_settings(settings)
         self.limit_follower_rate(settings)
+        self.core.tables.zone_crossing_cost = settings.zone_crossing_cost
         self.core.times = reader_times(settings)
 
     def on_dump(self, number: int, frame: object) -> None:
--- a/citronspring/host_settings.py
+++ b/citronspring/host_settings.py
@@ -4,6 +4,7 @@
 
 from citronspring.light_stdlib import TYPE_CHECKING
 from citronspring.records import record
+from citronspring.tokens.load.crossing_cost import DEFAULT_ZONE_CROSSING_COST
 
 if TYPE_CHECKING:
     from citronspring.endpoints import Endpoint
@@ -38,3 +39,5 @@
     settling_time: float
     #: Seconds from the stop signal until the process is killed.
     stop_grace: float
+    #: Cost of leaving this host's zone, see `DEFAULT_ZONE_CROSSING_COST`.
+    zone_crossing_cost: float = DEFAULT_ZONE_CROSSING_COST
--- a/citronspring/platform/settings.py
+++ b/citronspring/platform/settings.py
@@ -8,6 +8,7 @@
 from citronspring.json_text import loads
 from citronspring.light_stdlib import TYPE_CHECKING, getenv, stat
 from citronspring.platform.addresses import parse_endpoint, parse_port
+from citronspring.tokens.load.crossing_cost import DEFAULT_ZONE_CROSSING_COST
 
 if TYPE_CHECKING:
     from typing import Any
@@ -98,6 +99,9 @@
         settling_time=positive_field(bounds, "stable_window_ms") * MILLISECOND,
         # Time from the stop signal until the process is killed.
         stop_grace=positive_field(bounds, "grace_s"),
+        zone_crossing_cost=optional_field(
+            table, "zone_crossing_cost", DEFAULT_ZONE_CROSSING_COST
+        ),
     )
 
 
@@ -125,12 +129,17 @@
     return float(value)
 
 
+def optional_field(table: dict[str, Any], name: str, default: float) -> float:
+    """Return a field that holds a positive number, or the default if it is not set."""
+    return positive_field(table, name) if name in table else default
+
+
 def limit_field(table: dict[str, Any], name: str, default: float) -> float:
     """Return a limit of this host, or the default if it is not set."""
     limits = table.get("limits")
-    if not isinstance(limits, dict) or name not in limits:
-        return default
-    return positive_field(limits, name)
+    return (
+        optional_field(limits, name, default) if isinstance(limits, dict) else default
+    )
 
 
 def tightest_change_bound(bounds: dict[str, Any]) -> float:
--- a/citronspring/tokens/entry_updates.py
+++ b/citronspring/tokens/entry_updates.py
@@ -25,12 +25,12 @@
     with_revision,
 )
 from citronspring.tokens.messages import Log
-from citronspring.tokens.placement import placement_order, tie_break_rank, zone_penalty
+from citronspring.tokens.placement import placement_order, tie_break_rank
 from citronspring.tokens.routes import (
     apply_configuration,
     apply_configuration_change,
 )
-from citronspring.tokens.rows import TargetRow
+from citronspring.tokens.rows import ServiceTargets, TargetRow
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -157,7 +157,6 @@
     was_leaving = row.target.leaving
     returned = row.gone_at != INFINITY
     row.target = target
-    row.zone_penalty = zone_penalty(tables, target)
     row.order = placement_order(row)
     row.gone_at = INFINITY
     list_under_service(tables, row)
@@ -229,7 +228,6 @@
     """Create the row of a new target."""
     row = TargetRow(target, token_of(target.incarnation))
     row.rank = tie_break_rank(tables.host_id, target.target_id)
-    row.zone_penalty = zone_penalty(tables, target)
     row.order = placement_order(row)
     tables.targets[target.target_id] = row
     holder = tables.by_token.setdefault(row.token, row)
@@ -253,13 +251,26 @@
     rows = tables.by_service.setdefault(row.target.service, [])
     if row not in rows:
         rows.append(row)
+    split = tables.targets_by_zone.setdefault(row.target.service, ServiceTargets())
+    here, elsewhere = split.home, split.others
+    if row.target.zone != tables.zone:
+        here, elsewhere = elsewhere, here
+    if row not in here:
+        here.append(row)
+    if row in elsewhere:
+        elsewhere.remove(row)
 
 
 def unlist_from_service(tables: Tables, row: TargetRow) -> None:
     """Remove a target from its service, so that it gets no new flows."""
     rows = tables.by_service.get(row.target.service, [])
-    if row in rows:
-        rows.remove(row)
+    if row not in rows:
+        return
+    rows.remove(row)
+    split = tables.targets_by_zone[row.target.service]
+    for part in (split.home, split.others):
+        if row in part:
+            part.remove(row)
 
 
 def release_token(tables: Tables, row: TargetRow) -> None:
--- a/citronspring/tokens/forwarding.py
+++ b/citronspring/tokens/forwarding.py
@@ -19,6 +19,10 @@
     start_request,
     touch_flow,
 )
+from citronspring.tokens.load.crossing_cost import (
+    note_answer_bytes,
+    note_request_bytes,
+)
 from citronspring.tokens.messages import (
     Drop,
     DropReason,
@@ -174,16 +178,23 @@
     size = (packet.ack - flow.ack) & SEQ_MASK
     if 0 < size < SEQ_HALF:
         flow.ack = packet.ack
-        if flow.busy and note_answer_size(tables.answer_row(flow.route), size, now):
+        row = tables.route_bytes_row(flow.route)
+        if not flow.busy:
+            note_answer_bytes(row, size, False)
+        elif note_answer_size(tables.answer_row(flow.route), size, now):
             service = tables.service_row(flow.target.target.service)
             note_time_to_answer(service, now - flow.first_sent_at, now)
+            note_answer_bytes(row, size, True)
         note_answer(tables, flow.target, flow.first_sent_at, now)
         end_request(flow)
     if not packet.length:
         return
     end = (packet.seq + packet.length) & SEQ_MASK
-    if 0 < (end - flow.next_seq) & SEQ_MASK < SEQ_HALF:
+    size = (end - flow.next_seq) & SEQ_MASK
+    if 0 < size < SEQ_HALF:
         flow.next_seq = end
+        row = tables.route_bytes_row(flow.route)
+        note_request_bytes(row, size, not flow.busy)
         start_request(flow, now)
     elif flow.busy and now - flow.sent_at >= RETRANSMISSION_GAP:
         flow.sent_at = now
--- a/citronspring/tokens/introspection.py
+++ b/citronspring/tokens/introspection.py
@@ -7,6 +7,7 @@
 from citronspring.light_stdlib import INFINITY
 from citronspring.tokens.admission import current_delay
 from citronspring.tokens.entries import count_of, epoch_of
+from citronspring.tokens.load.crossing_cost import usual_bytes
 
 if TYPE_CHECKING:
     from citronspring.tokens.tables import Tables
@@ -50,6 +51,11 @@
             }
             for target_id, row in sorted(tables.targets.items())
         },
+        "zone_crossing_cost": tables.zone_crossing_cost,
+        "route_bytes": {
+            route_name(tables, key): round(usual_bytes(row))
+            for key, row in sorted(tables.route_bytes.items())
+        },
         "services": {
             name: {"delay": seconds(current_delay(tables, name, now))}
             for name in sorted(tables.services)
@@ -58,6 +64,12 @@
     }
 
 
+def route_name(tables: Tables, key: int) -> str:
+    """Return the name of a route, its key if the configuration has removed it."""
+    route = tables.routes.get(key)
+    return route.name if route is not None else str(key)
+
+
 def seconds(value: float) -> float | None:
     """Return a rounded duration, None if it is not positive or unknown."""
     return round(value, 3) if 0 < value < INFINITY else None
@@ -80,6 +92,10 @@
     for service in sorted(tables.services):
         delay = current_delay(tables, service, now)
         lines.append(f'{PREFIX}_service_delay_seconds{{service="{service}"}} {delay:g}')
+    lines.append(f"# TYPE {PREFIX}_route_bytes gauge")
+    for key, row in sorted(tables.route_bytes.items()):
+        name = route_name(tables, key)
+        lines.append(f'{PREFIX}_route_bytes{{route="{name}"}} {usual_bytes(row):g}')
     lines.append(f"# TYPE {PREFIX}_zone_drained gauge")
     for zone in sorted(tables.zone_drains):
         drained = int(tables.is_drained(zone))
--- a/citronspring/tokens/openings.py
+++ b/citronspring/tokens/openings.py
@@ -7,6 +7,7 @@
 from citronspring.tokens.admission import current_delay, is_admitted
 from citronspring.tokens.evidence import note_timeout
 from citronspring.tokens.flows import close_flow, start_flow
+from citronspring.tokens.load.crossing_cost import crossing_weight
 from citronspring.tokens.messages import (
     Drop,
     DropReason,
@@ -105,7 +106,7 @@
     if flow is None and not passes_admission(tables, packet, route, service, now):
         refuse_overload(tables, packet, route, service, now, actions)
         return
-    target = find_target(tables, service, tried, now)
+    target = find_target(tables, route, service, tried, now)
     if target is None:
         if not tried:
             refuse_without_target(tables, packet, route, service, now, actions)
@@ -136,12 +137,20 @@
 
 
 def find_target(
-    tables: Tables, service: str | None, tried: list[TargetRow], now: float
+    tables: Tables,
+    route: Route,
+    service: str | None,
+    tried: list[TargetRow],
+    now: float,
 ) -> TargetRow | None:
     """Return the target for an opening, None if there is none."""
     if service is None:
         return None
-    return choose_target(tables, service, tried, now)
+    weight = crossing_weight(tables, route.key)
+    target = choose_target(tables, service, tried, now, weight)
+    if target is not None and target.target.zone != tables.zone:
+        tables.counters["openings-to-other-zones"] += 1
+    return target
 
 
 def move_flow(flow: FlowRow, target: TargetRow) -> None:
@@ -168,6 +177,8 @@
         "attempt": attempt,
         "busy": target.busy,
         "flows": target.flows,
+        "zone": target.target.zone,
+        "crossing_weight": round(crossing_weight(tables, route.key), 2),
         "configuration": tables.configuration,
         "age": round(now - tables.reader.current_at, 3),
     }
--- a/citronspring/tokens/placement.py
+++ b/citronspring/tokens/placement.py
@@ -9,16 +9,15 @@
 
 if TYPE_CHECKING:
     from citronspring.tokens.entities import Route
-    from citronspring.tokens.entries import Target
     from citronspring.tokens.rows import TargetRow
     from citronspring.tokens.tables import Tables
 
 #: Load that a flow without an outstanding request adds, relative to a request.
 IDLE_FLOW_LOAD = 0.25
 
-#: Load that is added to a target of another zone. It is below one request per slot, so
-#: that the zone only decides between targets that are about equally busy.
-OTHER_ZONE_PENALTY = 0.2
+#: Load from which a target of the home zone is the slower way for any route: all its
+#: slots are taken, so that a request waits there while another zone has a free slot.
+FULL_LOAD = 1.0
 
 
 def choose_service(route: Route, draw: int) -> str | None:
@@ -43,19 +42,39 @@
 
 
 def choose_target(
-    tables: Tables, service: str, tried: list[TargetRow], now: float
+    tables: Tables,
+    service: str,
+    tried: list[TargetRow],
+    now: float,
+    weight: float = 1.0,
 ) -> TargetRow | None:
     """Return the target of a service for a new flow, None if there is none.
 
     Avoided targets are used only if all are avoided, and one that the opening was sent
     to before only if there is no other. Targets in warm-up come after both.
+
+    Parameters
+    ----------
+    tables : Tables
+        All state.
+    service : str
+        The service.
+    tried : list of TargetRow
+        Targets that the opening was sent to before.
+    now : float
+        Current time in seconds.
+    weight : float
+        Cost of leaving the home zone relative to small requests, see
+        `crossing_weight`.
     """
     rows = tables.by_service.get(service)
     if not rows:
         return None
     # The least loaded target nearly always qualifies; then the others are not examined.
-    best = min(rows, key=cached_order)
-    if best not in tried and is_first_choice(tables, best, now):
+    split = tables.targets_by_zone[service]
+    home = [] if tables.is_drained(tables.zone) else split.home
+    best = least_loaded(tables, home, split.others, weight)
+    if best is not None and best not in tried and is_first_choice(tables, best, now):
         return best
     placeable = [row for row in rows if is_placeable(tables, row)]
     if not placeable:
@@ -63,7 +82,30 @@
     usable = prefer_warm(tables, placeable, now)
     untried = [row for row in usable if row not in tried] or usable
     preferred = [row for row in untried if not is_avoided(tables, row, now)] or untried
-    return min(preferred, key=cached_order)
+    zone = tables.zone
+    home = [row for row in preferred if row.target.zone == zone]
+    others = [row for row in preferred if row.target.zone != zone]
+    return least_loaded(tables, home, others, weight)
+
+
+def least_loaded(
+    tables: Tables, home: list[TargetRow], others: list[TargetRow], weight: float
+) -> TargetRow | None:
+    """Return the least loaded target, one of another zone only if that is worth it."""
+    best = min(home, key=cached_order, default=None)
+    if best is None:
+        return min(others, key=cached_order, default=None)
+    penalty = crossing_penalty(tables, weight)
+    load = crossing_load(best, weight)
+    if load < penalty:
+        return best
+    other = min(others, key=cached_order, default=None)
+    if other is None:
+        return best
+    other_load = crossing_load(other, weight) + penalty
+    if (other_load, *other.order[1:]) < (load, *best.order[1:]):
+        return other
+    return best
 
 
 def is_first_choice(tables: Tables, row: TargetRow, now: float) -> bool:
@@ -108,9 +150,20 @@
     return crc32(f"{host_id} {target_id}".encode())
 
 
-def zone_penalty(tables: Tables, target: Target) -> float:
-    """Return the load that is added to a target for its zone."""
-    return 0.0 if target.zone == tables.zone else OTHER_ZONE_PENALTY
+def crossing_penalty(tables: Tables, weight: float) -> float:
+    """Return the load that leaving the home zone must save."""
+    cost = tables.zone_crossing_cost
+    return min(cost * weight, max(cost, FULL_LOAD))
+
+
+def crossing_load(row: TargetRow, weight: float) -> float:
+    """Return a target's load as it counts for leaving the home zone.
+
+    Flows without a request keep nobody waiting. The larger a route's requests, the
+    less they count, or a home zone with many idle flows would send uploads away.
+    """
+    idle = IDLE_FLOW_LOAD * (row.flows - row.busy) / row.target.slots
+    return row.order[0] - idle * (1.0 - 1.0 / weight)
 
 
 def cached_order(row: TargetRow) -> tuple[float, float, int]:
@@ -118,10 +171,14 @@
     return row.order
 
 
+def target_load(row: TargetRow) -> float:
+    """Return the load of a target per slot; placement knows of no other load."""
+    return (row.busy + IDLE_FLOW_LOAD * (row.flows - row.busy)) / row.target.slots
+
+
 def placement_order(row: TargetRow) -> tuple[float, float, int]:
     """Return the sort key of placement: load per slot, then time of the last flow."""
-    load = (row.busy + IDLE_FLOW_LOAD * (row.flows - row.busy)) / row.target.slots
-    return load + row.zone_penalty, row.placed_at, row.rank
+    return target_load(row), row.placed_at, row.rank
 
 
 def count_load(row: TargetRow, *, flows: int = 0, busy: int = 0) -> None:
--- a/citronspring/tokens/rows.py
+++ b/citronspring/tokens/rows.py
@@ -25,8 +25,6 @@
     rank: int = 0
     #: Number of these flows that have an outstanding request.
     busy: int = 0
-    #: Load that is added if it is in another zone.
-    zone_penalty: float = 0.0
     #: Cached sort key of placement; see `placement_order`.
     order: tuple[float, float, int] = (0.0, 0.0, 0)
     #: Time at which its warm-up ends.
@@ -57,6 +55,14 @@
     unreachable_since: float = INFINITY
 
 
+@record
+class ServiceTargets:
+    """Registered targets of a service, including those that are leaving, by zone."""
+
+    home: list[TargetRow] = field(default_factory=list)
+    others: list[TargetRow] = field(default_factory=list)
+
+
 @record
 class ZoneRow:
     """State of the network path to one availability zone."""
--- a/citronspring/tokens/tables.py
+++ b/citronspring/tokens/tables.py
@@ -5,7 +5,17 @@
 from citronspring.histogram import Histogram
 from citronspring.light_stdlib import INFINITY, TYPE_CHECKING, Counter, deque
 from citronspring.records import field, record
-from citronspring.tokens.rows import AnswerRow, LocalPath, ServiceRow, ZoneRow
+from citronspring.tokens.load.crossing_cost import (
+    DEFAULT_ZONE_CROSSING_COST,
+    RouteBytes,
+)
+from citronspring.tokens.rows import (
+    AnswerRow,
+    LocalPath,
+    ServiceRow,
+    ServiceTargets,
+    ZoneRow,
+)
 
 if TYPE_CHECKING:
     from citronspring.tokens.entities import Route
@@ -196,10 +206,16 @@
     by_token: dict[int, TargetRow] = field(default_factory=dict)
     #: Registered targets of each service, including those that are leaving.
     by_service: dict[str, list[TargetRow]] = field(default_factory=dict)
+    #: The same targets, those of this host's zone apart from the others.
+    targets_by_zone: dict[str, ServiceTargets] = field(default_factory=dict)
     zones: dict[str, ZoneRow] = field(default_factory=dict)
     services: dict[str, ServiceRow] = field(default_factory=dict)
     #: Answer sizes by route.
     answers: dict[int, AnswerRow] = field(default_factory=dict)
+    #: Bytes of requests and answers by route.
+    route_bytes: dict[int, RouteBytes] = field(default_factory=dict)
+    #: See `DEFAULT_ZONE_CROSSING_COST`.
+    zone_crossing_cost: float = DEFAULT_ZONE_CROSSING_COST
     #: Number of routes with each priority.
     priorities: Counter[int] = field(default_factory=Counter)
     flows: dict[bytes, FlowRow] = field(default_factory=dict)
@@ -263,6 +279,13 @@
             row = self.answers[route] = AnswerRow()
         return row
 
+    def route_bytes_row(self, route: int) -> RouteBytes:
+        """Return the byte counts of a route, creating the row if needed."""
+        row = self.route_bytes.get(route)
+        if row is None:
+            row = self.route_bytes[route] = RouteBytes()
+        return row
+
     def service_row(self, service: str) -> ServiceRow:
         """Return the row of a service, creating it if needed."""
         row = self.services.get(service)
--- a/tests/test_emulator/test_drains.py
+++ b/tests/test_emulator/test_drains.py
@@ -71,7 +71,7 @@
 
 
 def give_warmup_little_weight(patch):
-    def choose(tables, service, tried, now):
+    def choose(tables, service, tried, now, weight):
         rows = tables.by_service.get(service, ())
         rows = [row for row in rows if not row.target.leaving]
         fresh = [row for row in rows if row not in tried] or rows
--- a/tests/test_emulator/test_mutants.py
+++ b/tests/test_emulator/test_mutants.py
@@ -20,7 +20,7 @@
 
 
 def place_on_leaving_targets(patch):
-    def choose(tables, service, tried, now):
+    def choose(tables, service, tried, now, weight):
         rows = tables.by_service.get(service, ())
         fresh = [row for row in rows if row not in tried] or rows
         return min(fresh, key=lambda row: row.flows, default=None)
--- a/tests/test_platform/test_settings.py
+++ b/tests/test_platform/test_settings.py
@@ -9,6 +9,7 @@
 from citronspring.endpoints import Endpoint
 from citronspring.errors import SettingsError
 from citronspring.platform.settings import decode_settings, read_settings
+from citronspring.tokens.load.crossing_cost import DEFAULT_ZONE_CROSSING_COST
 
 VALID_SETTINGS = {
     "node_name": "host-1",
@@ -49,6 +50,16 @@
     assert settings.stop_grace == 6.0
 
 
+def test_cost_of_crossing_zones_is_optional():
+    """A settings file of an earlier release has no price for bytes between zones."""
+    settings = decode_settings(json.dumps(VALID_SETTINGS))
+    assert settings.zone_crossing_cost == DEFAULT_ZONE_CROSSING_COST
+    dear = decode_settings(json.dumps({**VALID_SETTINGS, "zone_crossing_cost": 0.8}))
+    assert dear.zone_crossing_cost == 0.8
+    with pytest.raises(SettingsError, match="zone_crossing_cost holds 'high'"):
+        decode_settings(json.dumps({**VALID_SETTINGS, "zone_crossing_cost": "high"}))
+
+
 def test_missing_host_limits_take_large_defaults():
     """A host without limits in its settings starts with the defaults."""
     settings = decode_settings(json.dumps(VALID_SETTINGS))
