--- a/citronspring/daemons/token_host.py
+++ b/citronspring/daemons/token_host.py
@@ -139,7 +139,8 @@
         self.settings_check_at = self.started_at + SETTINGS_INTERVAL
 
     def apply_limits(self, settings: HostSettings) -> None:
-        """Apply the lifetime of flows, and the limits of the host's link."""
+        """Apply the lifetime of flows, costs, and the limits of the host's link."""
+        self.core.tables.zone_crossing_cost = settings.zone_crossing_cost
         self.core.tables.flow_lifetime = settings.flow_lifetime
         self.core.tables.change_log.rate = LINK_SHARE * settings.link_rate
         self.core.set_link_limit(settings.link_limit, boot_clock())
--- a/citronspring/host_settings.py
+++ b/citronspring/host_settings.py
@@ -11,6 +11,11 @@
 
     from citronspring.endpoints import Endpoint
 
+#: Load, in outstanding requests per slot, that a request and answer of up to 4 KB must
+#: save for their flow to leave the home zone. It is below one request, so that the zone
+#: only decides between targets that are about equally busy.
+DEFAULT_ZONE_CROSSING_COST = 0.2
+
 
 @record(eq=True)
 class HostSettings:
@@ -46,6 +51,8 @@
     link_limit: float = INFINITY
     #: Longest lifetime of a flow in seconds.
     flow_lifetime: float = 3600.0
+    #: Cost of leaving this host's zone, see `DEFAULT_ZONE_CROSSING_COST`.
+    zone_crossing_cost: float = DEFAULT_ZONE_CROSSING_COST
 
 
 def section(table: dict[str, Any], name: str) -> dict[str, Any]:
--- a/citronspring/platform/settings.py
+++ b/citronspring/platform/settings.py
@@ -6,6 +6,7 @@
 from citronspring.endpoints import Endpoint
 from citronspring.errors import SettingsError
 from citronspring.host_settings import (
+    DEFAULT_ZONE_CROSSING_COST,
     HostSettings,
     invalid_field,
     positive_field,
@@ -111,15 +112,18 @@
         flow_lifetime=positive_field(
             {**bounds, **table}, "flow_ttl_s", DEFAULT_FLOW_LIFETIME
         ),
+        zone_crossing_cost=positive_field(
+            table, "zone_crossing_cost", DEFAULT_ZONE_CROSSING_COST
+        ),
     )
 
 
 def limit_field(table: dict[str, Any], name: str, default: float) -> float:
     """Return a limit of this host, or the default if it is not set."""
     limits = table.get("limits")
-    if not isinstance(limits, dict) or name not in limits:
-        return default
-    return positive_field(limits, name)
+    return (
+        positive_field(limits, name, default) if isinstance(limits, dict) else default
+    )
 
 
 def tightest_change_bound(bounds: dict[str, Any]) -> float:
--- a/citronspring/tokens/forwarding.py
+++ b/citronspring/tokens/forwarding.py
@@ -184,9 +184,13 @@
     size = (packet.ack - flow.ack) & SEQ_MASK
     if 0 < size < SEQ_HALF:
         flow.ack = packet.ack
-        if flow.busy and note_answer_size(tables.answer_row(flow.route), size, now):
+        row = tables.route_bytes_row(flow.route)
+        if not flow.busy:
+            row.add_answer(size, False)
+        elif note_answer_size(tables.answer_row(flow.route), size, now):
             service = tables.service_row(flow.target.target.service)
             note_time_to_answer(service, now - flow.first_sent_at, now)
+            row.add_answer(size, True)
         note_answer(tables, flow.target, flow.first_sent_at, now)
         end_request(flow)
         if flow.request_bytes:
@@ -199,6 +203,8 @@
         if tables.link_rate < INFINITY:
             count_request_bytes(tables, packet.flow, flow, new_bytes, now)
         flow.next_seq = end
+        row = tables.route_bytes_row(flow.route)
+        row.add_request(new_bytes, not flow.busy)
         start_request(flow, now)
     elif flow.busy and now - flow.sent_at >= RETRANSMISSION_GAP:
         flow.sent_at = now
--- a/citronspring/tokens/openings.py
+++ b/citronspring/tokens/openings.py
@@ -113,7 +113,7 @@
     if flow is None and not passes_host_capacity(tables, packet, route, service, now):
         refuse_host_busy(tables, packet, route, service, now, actions)
         return
-    target = find_target(tables, service, tried, now)
+    target = find_target(tables, route, service, tried, now)
     if target is None:
         if not tried:
             refuse_without_target(tables, packet, route, service, now, actions)
@@ -161,12 +161,30 @@
 
 
 def find_target(
-    tables: Tables, service: str | None, tried: list[TargetRow], now: float
+    tables: Tables,
+    route: Route,
+    service: str | None,
+    tried: list[TargetRow],
+    now: float,
 ) -> TargetRow | None:
     """Return the target for an opening, None if there is none."""
     if service is None:
         return None
-    return choose_target(tables, service, tried, now)
+    weight = crossing_weight_of(tables, route)
+    target = choose_target(tables, service, tried, now, weight)
+    if target is not None and target.target.zone != tables.zone:
+        tables.counters["openings-to-other-zones"] += 1
+    return target
+
+
+def crossing_weight_of(tables: Tables, route: Route) -> float:
+    """Return the weight of leaving the home zone; 1 until sizes are known."""
+    if route.key not in tables.route_bytes:
+        return 1.0
+    # Imported on first use: a starting host has seen no requests.
+    from citronspring.tokens.load.crossing_cost import crossing_weight
+
+    return crossing_weight(tables, route.key)
 
 
 def move_flow(flow: FlowRow, target: TargetRow) -> None:
@@ -193,6 +211,8 @@
         "attempt": attempt,
         "busy": target.busy,
         "flows": target.flows,
+        "zone": target.target.zone,
+        "crossing_weight": round(crossing_weight_of(tables, route), 2),
         "configuration": tables.configuration,
         "age": round(now - tables.reader.current_at, 3),
     }
--- a/citronspring/tokens/routes.py
+++ b/citronspring/tokens/routes.py
@@ -59,6 +59,7 @@
         remove_services(tables, key, route)
         tables.answers.pop(key, None)
         tables.request_sizes.pop(key, None)
+        tables.route_bytes.pop(key, None)
         count_priority(tables, route, -1)
 
 
--- a/citronspring/tokens/rows.py
+++ b/citronspring/tokens/rows.py
@@ -9,6 +9,10 @@
     from citronspring.tokens.entities import Packet
     from citronspring.tokens.entries import Target
 
+#: Number of requests or answers at which their sums are halved, so that older ones lose
+#: weight.
+MAX_COUNTED_REQUESTS = 64
+
 
 @record
 class TargetRow:
@@ -25,8 +29,6 @@
     rank: int = 0
     #: Number of these flows that have an outstanding request.
     busy: int = 0
-    #: Load that is added if it is in another zone.
-    zone_penalty: float = 0.0
     #: Cached sort key of placement; see `placement_order`.
     order: tuple[float, float, int] = (0.0, 0.0, 0)
     #: Time at which its warm-up ends.
@@ -57,6 +59,50 @@
     unreachable_since: float = INFINITY
 
 
+@record
+class ServiceTargets:
+    """Registered targets of a service, including those that are leaving, by zone."""
+
+    home: list[TargetRow] = field(default_factory=list)
+    others: list[TargetRow] = field(default_factory=list)
+
+
+@record
+class RouteBytes:
+    """Decayed sums of the bytes of a route's requests and answers at this host."""
+
+    request_bytes: float = 0.0
+    requests: int = 0
+    answer_bytes: float = 0.0
+    answers: int = 0
+
+    def add_request(self, size: int, is_first: bool) -> None:
+        """Count new bytes of a request; ``is_first`` for the first ones.
+
+        Retransmitted bytes are not new. Rejected requests count: their bytes have
+        crossed.
+        """
+        self.request_bytes += size
+        if is_first:
+            self.requests += 1
+            if self.requests >= MAX_COUNTED_REQUESTS:
+                self.requests //= 2
+                self.request_bytes *= 0.5
+
+    def add_answer(self, size: int, is_first: bool) -> None:
+        """Count newly acknowledged bytes of an answer; ``is_first`` for the first ones.
+
+        Callers acknowledge a large answer in several packets, so the first
+        acknowledgement alone does not tell its size.
+        """
+        self.answer_bytes += size
+        if is_first:
+            self.answers += 1
+            if self.answers >= MAX_COUNTED_REQUESTS:
+                self.answers //= 2
+                self.answer_bytes *= 0.5
+
+
 @record
 class ZoneRow:
     """State of the network path to one availability zone."""
--- a/citronspring/tokens/tables.py
+++ b/citronspring/tokens/tables.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from citronspring.histogram import Histogram
+from citronspring.host_settings import DEFAULT_ZONE_CROSSING_COST
 from citronspring.light_stdlib import INFINITY, TYPE_CHECKING, Counter, deque
 from citronspring.records import field, record
 from citronspring.tokens.rows import (
@@ -11,7 +12,9 @@
     LocalPath,
     OpenUploads,
     RequestSizeRow,
+    RouteBytes,
     ServiceRow,
+    ServiceTargets,
     ZoneRow,
 )
 
@@ -241,6 +244,8 @@
     by_token: dict[int, TargetRow] = field(default_factory=dict)
     #: Registered targets of each service, including those that are leaving.
     by_service: dict[str, list[TargetRow]] = field(default_factory=dict)
+    #: The same targets, those of this host's zone apart from the others.
+    targets_by_zone: dict[str, ServiceTargets] = field(default_factory=dict)
     zones: dict[str, ZoneRow] = field(default_factory=dict)
     services: dict[str, ServiceRow] = field(default_factory=dict)
     #: Answer sizes by route.
@@ -249,6 +254,10 @@
     answered_requests: list[tuple[int, int]] = field(default_factory=list)
     #: Request sizes by route.
     request_sizes: dict[int, RequestSizeRow] = field(default_factory=dict)
+    #: Bytes of requests and answers by route.
+    route_bytes: dict[int, RouteBytes] = field(default_factory=dict)
+    #: See `DEFAULT_ZONE_CROSSING_COST`.
+    zone_crossing_cost: float = DEFAULT_ZONE_CROSSING_COST
     #: Number of routes with each priority.
     priorities: Counter[int] = field(default_factory=Counter)
     #: Number of routes with each pair of priority and latency objective.
@@ -326,6 +335,13 @@
             row = self.request_sizes[route] = RequestSizeRow()
         return row
 
+    def route_bytes_row(self, route: int) -> RouteBytes:
+        """Return the byte counts of a route, creating the row if needed."""
+        row = self.route_bytes.get(route)
+        if row is None:
+            row = self.route_bytes[route] = RouteBytes()
+        return row
+
     def service_row(self, service: str) -> ServiceRow:
         """Return the row of a service, creating it if needed."""
         row = self.services.get(service)
