Count warm-ups from starts, and spread openings over targets in warm-up

They count the warm-up of every target in full from their reading, so that none seems warmed up, and one that really is in warm-up gets 11 openings in a second (5 allowed).

Change: a host that lists the store deducts from a warm-up what the newest start time that two targets' clocks have reached shows to have passed, only for entries that a target wrote when it started. If all targets are in warm-up, a host gives one at most one opening a second while another can take it; among equally loaded ones it prefers the one whose warm-up ends sooner. Emulated targets state their start, as those of the platform do.

A part of the quota alone could not mend it: 60 openings a second over nine targets are 6.7 each, above the quota of 5.

--- a/citronspring/emulator/targets.py
+++ b/citronspring/emulator/targets.py
@@ -30,6 +30,8 @@
 #: Payload bytes of every other answer.
 ANSWER_BYTES = 900
 
+MILLISECOND = 0.001
+
 #: Factor by which a request takes longer at a target in warm-up.
 WARMUP_SLOWNESS = 1.6
 
@@ -95,6 +97,8 @@
     sheds: bool = False
     #: Time at which its warm-up ends.
     warmup_until: float = -math.inf
+    #: Time at which it started.
+    started_at: float = 0.0
     #: Sequence number of the last entry that it wrote.
     entry_sequence: int = 0
 
@@ -118,6 +122,7 @@
             self.leaving_at is not None,
             max(self.warmup_until - self.clock.now, 0.0),
             0,
+            started=round(self.started_at / MILLISECOND),
             sequence=self.entry_sequence,
         )
 
--- a/citronspring/emulator/world.py
+++ b/citronspring/emulator/world.py
@@ -156,6 +156,7 @@
         target = EmulatedTarget(
             self.clock, self.network, self.checker, incarnation, service, zone
         )
+        target.started_at = self.clock.now
         target.sheds = self.sizes.targets_shed
         if self.clock.now > TRAFFIC_START:
             self.begin_warmup(target)
--- a/citronspring/tokens/placement.py
+++ b/citronspring/tokens/placement.py
@@ -8,6 +8,8 @@
 from citronspring.tokens.evidence import is_avoided, seems_unreachable
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from citronspring.tokens.entities import Route
     from citronspring.tokens.rows import TargetRow
     from citronspring.tokens.tables import Tables
@@ -19,6 +21,16 @@
 #: slots are taken, so that a request waits there while another zone has a free slot.
 FULL_LOAD = 1.0
 
+#: Seconds between two openings of this host to a target in warm-up, while others can
+#: take them. Such a target can serve five a second from all hosts, whose number is not
+#: known.
+WARMUP_OPENING_INTERVAL = 1.0
+
+#: Difference in seconds between remaining warm-ups that placement takes into account.
+#: With a smaller one, all hosts would choose the same one of targets that started
+#: together.
+WARMUP_STEP = 0.5
+
 
 def choose_service(route: Route, draw: int) -> str | None:
     """Return a service of a route by weight; equal draws give the same service.
@@ -73,7 +85,7 @@
     # The least loaded target nearly always qualifies; then the others are not examined.
     split = tables.targets_by_zone[service]
     home = [] if tables.is_drained(tables.zone) else split.home
-    best = least_loaded(tables, home, split.others, weight)
+    best = least_loaded(tables, home, split.others, weight, cached_order)
     if best is not None and best not in tried and is_first_choice(tables, best, now):
         return best
     placeable = [row for row in rows if is_placeable(tables, row)]
@@ -82,28 +94,40 @@
     usable = prefer_warm(tables, placeable, now)
     untried = [row for row in usable if row not in tried] or usable
     preferred = [row for row in untried if not is_avoided(tables, row, now)] or untried
+    able = within_warmup_quota(preferred, now) or preferred
     zone = tables.zone
-    home = [row for row in preferred if row.target.zone == zone]
-    others = [row for row in preferred if row.target.zone != zone]
-    return least_loaded(tables, home, others, weight)
+    home = [row for row in able if row.target.zone == zone]
+    others = [row for row in able if row.target.zone != zone]
+
+    def order(row: TargetRow) -> tuple[float, ...]:
+        return warmup_order(row, now)
+
+    return least_loaded(tables, home, others, weight, order)
 
 
 def least_loaded(
-    tables: Tables, home: list[TargetRow], others: list[TargetRow], weight: float
+    tables: Tables,
+    home: list[TargetRow],
+    others: list[TargetRow],
+    weight: float,
+    order: Callable[[TargetRow], tuple[float, ...]],
 ) -> TargetRow | None:
-    """Return the least loaded target, one of another zone only if that is worth it."""
-    best = min(home, key=cached_order, default=None)
+    """Return the least loaded target, one of another zone only if that is worth it.
+
+    ``order`` returns the sort key of a target; its first value is the load.
+    """
+    best = min(home, key=order, default=None)
     if best is None:
-        return min(others, key=cached_order, default=None)
+        return min(others, key=order, default=None)
     penalty = crossing_penalty(tables, weight)
     load = crossing_load(best, weight)
     if load < penalty:
         return best
-    other = min(others, key=cached_order, default=None)
+    other = min(others, key=order, default=None)
     if other is None:
         return best
     other_load = crossing_load(other, weight) + penalty
-    if (other_load, *other.order[1:]) < (load, *best.order[1:]):
+    if (other_load, *order(other)[1:]) < (load, *order(best)[1:]):
         return other
     return best
 
@@ -133,6 +157,18 @@
     return warm
 
 
+def within_warmup_quota(rows: list[TargetRow], now: float) -> list[TargetRow]:
+    """Return the targets that can take an opening of this host without overload.
+
+    They have warmed up, or have had none of its openings lately.
+    """
+    return [
+        row
+        for row in rows
+        if row.warm_at <= now or now - row.placed_at >= WARMUP_OPENING_INTERVAL
+    ]
+
+
 def only_in_drained_zones(tables: Tables, service: str) -> bool:
     """Whether a service has targets, but none outside of drained zones."""
     rows = tables.by_service.get(service, ())
@@ -176,6 +212,12 @@
     return (row.busy + IDLE_FLOW_LOAD * (row.flows - row.busy)) / row.target.slots
 
 
+def warmup_order(row: TargetRow, now: float) -> tuple[float, ...]:
+    """Return the sort key of a target where equal load is decided by its warm-up."""
+    load, *rest = row.order
+    return load, max(row.warm_at - now, 0.0) // WARMUP_STEP, *rest
+
+
 def placement_order(row: TargetRow) -> tuple[float, float, int]:
     """Return the sort key of placement: load per slot, then time of the last flow."""
     return target_load(row), row.placed_at, row.rank
--- a/citronspring/tokens/store_reader.py
+++ b/citronspring/tokens/store_reader.py
@@ -198,6 +198,10 @@
             note_failure(tables, f"status {answer.status}", now, actions)
         case Unanswered():
             note_failure(tables, answer.cause, now, actions)
+    if tables.listed_warmups:
+        from citronspring.tokens.warmups import shorten_warmups
+
+        shorten_warmups(tables, now)
     return actions
 
 
@@ -248,6 +252,10 @@
     log_list(tables, actions)
     restored = store_was_restored(tables)
     apply_list(tables, reader.list_entries, reader.list_revision, now, actions)
+    if any(row.warm_at > now for row in tables.targets.values()):
+        from citronspring.tokens.warmups import note_listed_warmups
+
+        note_listed_warmups(tables, now)
     if restored:
         drop_unknown_lease(tables)
     if reader.list_revision > reader.revision:
--- a/citronspring/tokens/tables.py
+++ b/citronspring/tokens/tables.py
@@ -246,6 +246,8 @@
     by_service: dict[str, list[TargetRow]] = field(default_factory=dict)
     #: The same targets, those of this host's zone apart from the others.
     targets_by_zone: dict[str, ServiceTargets] = field(default_factory=dict)
+    #: Targets in warm-up of the last list, with the time at which that ends.
+    listed_warmups: dict[str, float] = field(default_factory=dict)
     zones: dict[str, ZoneRow] = field(default_factory=dict)
     services: dict[str, ServiceRow] = field(default_factory=dict)
     #: Answer sizes by route.
