Compare home targets by the load that counts for a route

Found in review: the home target was chosen by its full load, and idle flows were discounted only after that, so an upload left its zone while a home target with many idle flows had a free slot. Change: both minima are taken by the load that counts for the route. Retries of an opening are not counted as openings to another zone. Result: the new test fails before the change and passes after it.

--- a/citronspring/tokens/openings.py
+++ b/citronspring/tokens/openings.py
@@ -122,7 +122,7 @@
     log_placement(tables, packet, route, target, len(tried), now, actions)
     if flow is None:
         flow = start_flow(tables, packet, route, target, now)
-        if flow is not None:
+        if flow is not None and tables.link_rate < INFINITY:
             expect_request(tables, packet.flow, flow, now)
     else:
         move_flow(flow, target)
@@ -172,7 +172,7 @@
         return None
     weight = crossing_weight_of(tables, route)
     target = choose_target(tables, service, tried, now, weight)
-    if target is not None and target.target.zone != tables.zone:
+    if target is not None and target.target.zone != tables.zone and not tried:
         tables.counters["openings-to-other-zones"] += 1
     return target
 
--- a/citronspring/tokens/placement.py
+++ b/citronspring/tokens/placement.py
@@ -17,8 +17,8 @@
 #: Load that a flow without an outstanding request adds, relative to a request.
 IDLE_FLOW_LOAD = 0.25
 
-#: Load from which a target of the home zone is the slower way for any route: all its
-#: slots are taken, so that a request waits there while another zone has a free slot.
+#: Load per slot at which all slots of a target are taken, so that a new request queues.
+#: It is the upper bound of the crossing penalty.
 FULL_LOAD = 1.0
 
 #: Seconds between two openings of this host to a target in warm-up, while others can
@@ -94,10 +94,10 @@
     usable = prefer_warm(tables, placeable, now)
     untried = [row for row in usable if row not in tried] or usable
     preferred = [row for row in untried if not is_avoided(tables, row, now)] or untried
-    able = within_warmup_quota(preferred, now) or preferred
+    within_quota = within_warmup_quota(preferred, now) or preferred
     zone = tables.zone
-    home = [row for row in able if row.target.zone == zone]
-    others = [row for row in able if row.target.zone != zone]
+    home = [row for row in within_quota if row.target.zone == zone]
+    others = [row for row in within_quota if row.target.zone != zone]
 
     def order(row: TargetRow) -> tuple[float, ...]:
         return warmup_order(row, now)
@@ -116,14 +116,19 @@
 
     ``order`` returns the sort key of a target; its first value is the load.
     """
-    best = min(home, key=order, default=None)
+
+    def weighted_order(row: TargetRow) -> tuple[float, ...]:
+        return crossing_load(row, weight), *order(row)[1:]
+
+    key = weighted_order if weight > 1.0 else order
+    best = min(home, key=key, default=None)
     if best is None:
-        return min(others, key=order, default=None)
+        return min(others, key=key, default=None)
     penalty = crossing_penalty(tables, weight)
     load = crossing_load(best, weight)
     if load < penalty:
         return best
-    other = min(others, key=order, default=None)
+    other = min(others, key=key, default=None)
     if other is None:
         return best
     other_load = crossing_load(other, weight) + penalty
@@ -195,8 +200,8 @@
 def crossing_load(row: TargetRow, weight: float) -> float:
     """Return a target's load as it counts for leaving the home zone.
 
-    Flows without a request keep nobody waiting. The larger a route's requests, the
-    less they count, or a home zone with many idle flows would send uploads away.
+    Idle flows do not delay requests. The larger a route's requests, the less idle flows
+    count; otherwise a home zone with many of them would send uploads to other zones.
     """
     idle = IDLE_FLOW_LOAD * (row.flows - row.busy) / row.target.slots
     return row.order[0] - idle * (1.0 - 1.0 / weight)
@@ -208,7 +213,7 @@
 
 
 def target_load(row: TargetRow) -> float:
-    """Return the load of a target per slot; placement knows of no other load."""
+    """Return the load of a target per slot, the only place where it is computed."""
     return (row.busy + IDLE_FLOW_LOAD * (row.flows - row.busy)) / row.target.slots
 
 
--- a/citronspring/tokens/warmups.py
+++ b/citronspring/tokens/warmups.py
@@ -66,7 +66,7 @@
 def newest_start(tables: Tables) -> float:
     """Return the newest start that enough targets' clocks have reached.
 
-    It is in milliseconds of Unix time; without enough start times it is no time at all.
+    It is in milliseconds of Unix time; -infinity if fewer than `MIN_CLOCKS` are known.
     """
     starts = [
         row.target.started
--- a/tests/test_tokens/test_placement.py
+++ b/tests/test_tokens/test_placement.py
@@ -104,6 +104,15 @@
         assert chosen_zone(tables) == "south"
         assert chosen_zone(tables, UPLOAD) == "north"
 
+    def test_upload_takes_a_free_slot_at_home_behind_idle_flows(self):
+        """The other home targets are full; by idle flows this one looks more loaded."""
+        tables = two_zones(home=2)
+        busy, idle = in_zone(tables, "north")
+        count_load(busy, flows=3, busy=3)
+        count_load(idle, flows=13)
+        row = choose_target(tables, "previews", [], 101.0, UPLOAD)
+        assert row is idle
+
     def test_uploads_leave_when_all_slots_at_home_are_taken(self):
         """Callers of one zone demand more than its targets have slots for.
 
