Bound the deadlines of uploads, and sample the link after a stall's packets

Found in review, each reproduced: a long flow that always has an upload open added a deadline for each of its requests; without a limit of the link, learned sizes went on adding them; after a stall the queued packets counted as the bytes of 0.2 s, so that the link seemed full; a follower kept the keys of removed routes, and a host that became zone reader again skipped its random delay; a stand-in system that failed to start kept its ports. Change: one deadline for each flow, none without a limit; no sample until the packets of a stall are read; the keys are dropped where no history is used. Fields are named nearly_full and expected_bytes for what they hold. Result: tests for the deadlines and for the order of the process loop; tests/test_tokens passes.

--- a/citronspring/standins/loopback.py
+++ b/citronspring/standins/loopback.py
@@ -36,7 +36,8 @@
 RESERVED_IP = "127.0.3.5"
 FIRST_PORT_CANDIDATES = range(20_000, 30_000, 100)
 
-#: Seconds in which the tasks of a system that ends close their sockets.
+#: Seconds to wait for cancelled tasks to close their sockets before the ports are
+#: released.
 RELEASE_DELAY = 0.05
 
 #: Offset of the last port of a range, on which targets terminate their tunnels.
@@ -71,9 +72,6 @@
 
     def __post_init__(self) -> None:
         self.reserved = reserve_ports()
-        # Reserved before anything starts: hosts may be started before, or without, the
-        # fabric, and another system on the machine would otherwise take their ports.
-        self.group.start_soon(self.hold_ports)
         first_port = self.reserved.getsockname()[1]
         self.tunnel_port = first_port + TUNNEL_OFFSET
         self.ports = itertools.count(first_port)
@@ -83,6 +81,9 @@
         self.fabric = Fabric(gateway, access, self.rng)
         self.caller = Caller(local, access, self.rng)
         self.gateway = gateway
+        # Reserved before anything starts: hosts may be started before, or without, the
+        # fabric, and another system on the machine would otherwise take their ports.
+        self.group.start_soon(self.hold_ports)
 
     gateway: Endpoint = field(init=False)
     #: Reserves the range of ports against other systems on this machine.
@@ -92,7 +93,7 @@
     async def hold_ports(self) -> None:
         """Keep the range of ports reserved until all sockets in it are closed.
 
-        Another system that took the range before that could not start.
+        Another system could otherwise reserve the range and fail to bind its ports.
         """
         try:
             await anyio.sleep_forever()
--- a/citronspring/tokens/balancer.py
+++ b/citronspring/tokens/balancer.py
@@ -54,7 +54,8 @@
 #: Seconds without a packet after which a leaving host counts as out of rotation.
 QUIET_SECONDS = 0.4
 
-#: Seconds after the link's capacity becomes known until its usage is sampled.
+#: Seconds after the link's capacity becomes known until its usage is sampled, so that
+#: the imports do not slow the start.
 LINK_SAMPLE_DELAY = 0.1
 
 #: Stall of the process, in seconds, after which queued openings are too old to be
@@ -127,7 +128,10 @@
             tables.counters["pauses"] += 1
             note_disturbance(tables.local_path, now)
         tables.iteration_started_at = now
-        if now >= tables.link_usage.sample_at and tables.link_rate < INFINITY:
+        if tables.stale or tables.link_rate == INFINITY:
+            # After a stall, all queued packets would count as the bytes of one sample.
+            return stalled
+        if now >= tables.link_usage.sample_at:
             # Imported on first use: the first sample is taken after the start.
             from citronspring.tokens.load.host_capacity import release_abandoned_uploads
             from citronspring.tokens.load.link_usage import sample_link
@@ -148,13 +152,15 @@
     def set_link_limit(self, rate: float, now: float) -> None:
         """Set the capacity of the host's link in bytes per second, infinite for none.
 
-        The first sample of its usage is taken later, after a start.
+        The first sample of its usage is delayed, so that its imports do not slow the
+        start.
         """
         tables = self.tables
         tables.link_rate = rate
         tables.link_usage.sample_at = now + LINK_SAMPLE_DELAY
         if rate == INFINITY:
-            tables.link_usage.full = False
+            tables.link_usage.nearly_full = False
+            tables.request_sizes.clear()
 
     def note_failed_send(self, now: float) -> None:
         """Record that sending a datagram failed."""
@@ -185,11 +191,14 @@
         """Return the election call or write of a zone reader that is due, or None."""
         call = next_election_call(self.tables, endpoint, delay, now)
         history = self.tables.route_history
-        if call is not None or not history.unchecked or not self.tables.election.lease:
-            return call
         if not history.is_used:
             history.unchecked.clear()
-            return None
+        if not self.tables.election.lease:
+            # A host that becomes zone reader waits a random delay again.
+            history.write_at = INFINITY
+            return call
+        if call is not None or not history.unchecked:
+            return call
         # Imported on first use; most deployments never write a route history.
         from citronspring.tokens.route_history import next_history_write
 
@@ -246,7 +255,7 @@
                 place_opening(tables, flow.opening, route, flow, now, actions)
         report_suspicions(tables, now, actions)
         advance_inquiry(tables, now, actions)
-        if tables.link_usage.full != tables.link_usage.logged_full:
+        if tables.link_usage.nearly_full != tables.link_usage.logged_nearly_full:
             from citronspring.tokens.load.link_usage import log_link_state
 
             log_link_state(tables, now, actions)
--- a/citronspring/tokens/evidence.py
+++ b/citronspring/tokens/evidence.py
@@ -106,7 +106,11 @@
 def note_timeout(tables: Tables, row: TargetRow, sent_at: float, now: float) -> None:
     """Record that an opening or request sent at ``sent_at`` has timed out."""
     link = tables.link_usage
-    if sent_at < row.answered_at or link.full or sent_at <= link.full_at:
+    if (
+        sent_at < row.answered_at
+        or link.nearly_full
+        or sent_at <= link.last_nearly_full_at
+    ):
         # What was sent while the host's own link was nearly full may have been lost or
         # delayed there.
         return
--- a/citronspring/tokens/flows.py
+++ b/citronspring/tokens/flows.py
@@ -108,11 +108,13 @@
 
 
 def expect_request(tables: Tables, key: bytes, flow: FlowRow, now: float) -> None:
-    """Expect the usual bytes of a request on a flow, if it is an upload."""
+    """Add the usual size of a route's uploads to the bytes expected on the link."""
     row = tables.request_sizes.get(flow.route)
     if row is not None and row.upload_size:
         set_upload_bytes(tables, flow, row.upload_size)
-        heappush(tables.uploads.deadlines, (now + UPLOAD_TIMEOUT, key))
+        if key not in tables.uploads.with_deadline:
+            tables.uploads.with_deadline.add(key)
+            heappush(tables.uploads.deadlines, (now + UPLOAD_TIMEOUT, key))
 
 
 def finish_request(tables: Tables, flow: FlowRow) -> None:
--- a/citronspring/tokens/introspection.py
+++ b/citronspring/tokens/introspection.py
@@ -68,10 +68,10 @@
         },
         "link": {
             **describe_link(tables, now),
-            "full": tables.link_usage.full,
+            "full": tables.link_usage.nearly_full,
             "received": tables.link_usage.received,
             "sent": tables.link_usage.sent,
-            "uploads": tables.uploads.remaining,
+            "expected_bytes": tables.uploads.remaining,
             "in_flight": tables.uploads.in_flight,
         },
         "request_sizes": {
@@ -154,7 +154,7 @@
         lines.append(f'{PREFIX}_link_bytes_total{{direction="{direction}"}} {count}')
     lines.append(f"# TYPE {PREFIX}_earlier_service_packets_total counter")
     for key, count in sorted(tables.route_history.packets.items()):
-        route = tables.routes[key].name if key in tables.routes else f"{key:x}"
+        route = route_name(tables, key)
         lines.append(
             f'{PREFIX}_earlier_service_packets_total{{route="{route}"}} {count}'
         )
--- a/citronspring/tokens/load/host_capacity.py
+++ b/citronspring/tokens/load/host_capacity.py
@@ -101,10 +101,12 @@
         _, key = heappop(deadlines)
         flow = tables.flows.get(key)
         if flow is None or not flow.upload_bytes:
+            tables.uploads.with_deadline.discard(key)
             continue
         # The flow may be a later one of the same caller's port.
         deadline = max(flow.sent_at, flow.first_sent_at) + UPLOAD_TIMEOUT
         if deadline > now:
             heappush(deadlines, (deadline, key))
         else:
+            tables.uploads.with_deadline.discard(key)
             set_upload_bytes(tables, flow, 0)
--- a/citronspring/tokens/load/link_usage.py
+++ b/citronspring/tokens/load/link_usage.py
@@ -47,9 +47,9 @@
     while len(samples) > 1 and samples[1].at <= now - USAGE_WINDOW:
         samples.popleft()
     usage.sample_at = now + SAMPLE_INTERVAL
-    usage.full = is_nearly_full(usage, tables.link_rate, now)
-    if usage.full:
-        usage.full_at = now
+    usage.nearly_full = is_nearly_full(usage, tables.link_rate, now)
+    if usage.nearly_full:
+        usage.last_nearly_full_at = now
         note_disturbance(tables.local_path, now)
 
 
@@ -79,11 +79,11 @@
 def log_link_state(tables: Tables, now: float, actions: list[Action]) -> None:
     """Log that the link has become nearly full, or is no longer."""
     usage = tables.link_usage
-    usage.logged_full = usage.full
+    usage.logged_nearly_full = usage.nearly_full
     fields: dict[str, object] = {
-        "full": usage.full,
+        "full": usage.nearly_full,
         **describe_link(tables, now),
-        "uploads": tables.uploads.remaining,
+        "expected_bytes": tables.uploads.remaining,
     }
     actions.append(Log(LINK_STATE_CHANGED.number, fields))
 
--- a/citronspring/tokens/rows.py
+++ b/citronspring/tokens/rows.py
@@ -180,10 +180,10 @@
     #: When the next sample is due.
     sample_at: float = -INFINITY
     #: Whether the link was nearly full at the last sample, and when it last was.
-    full: bool = False
-    full_at: float = -INFINITY
-    #: Value of ``full`` that was logged last.
-    logged_full: bool = False
+    nearly_full: bool = False
+    last_nearly_full_at: float = -INFINITY
+    #: Value of ``nearly_full`` that was logged last.
+    logged_nearly_full: bool = False
 
 
 @record
@@ -194,8 +194,10 @@
     remaining: int = 0
     #: Part of them that may be in flight at once, limited by the callers' windows.
     in_flight: int = 0
-    #: Heap of deadlines by which more bytes must arrive, as (time, flow).
+    #: Heap of deadlines by which more bytes must arrive, as (time, flow), and the flows
+    #: in it; each flow has one deadline at most.
     deadlines: list[tuple[float, bytes]] = field(default_factory=list)
+    with_deadline: set[bytes] = field(default_factory=set)
 
 
 @record
--- a/tests/test_tokens/test_load/test_host_capacity.py
+++ b/tests/test_tokens/test_load/test_host_capacity.py
@@ -126,7 +126,7 @@
     sizes = fields["usual_size"], fields["expected_bytes"], fields["in_flight"]
     assert sizes == pytest.approx((SIZE, 3 * SIZE, 3 * 19_200), abs=3)
     state = driver.core.dump(driver.now)
-    assert state["link"]["uploads"] == fields["expected_bytes"]
+    assert state["link"]["expected_bytes"] == fields["expected_bytes"]
     assert state["request_sizes"] == {"uploads": fields["usual_size"]}
     assert "citronspring_expected_upload_bytes 1200" in driver.core.metrics(driver.now)
 
@@ -222,6 +222,20 @@
     assert len(driver.tables.uploads.deadlines) <= UPLOAD_TIMEOUT / 0.5 + 1
 
 
+def test_an_upload_flow_without_pauses_has_one_deadline():
+    """A busy long flow always has an upload open, so none of its deadlines would go."""
+    driver = learn_sizes(make_host())
+    caller = driver.caller(100, UPLOADS)
+    caller.connect()
+    for _ in range(40):
+        upload(caller, SIZE - 1000)
+        sleep(driver, 0.1)
+        upload(caller, 1000)
+        caller.acknowledge_answer()
+        caller.send_request(1000)
+    assert len(driver.tables.uploads.deadlines) <= 2
+
+
 @pytest.mark.parametrize("before", [0, 5_000])
 def test_vanished_callers_release_their_bytes(before):
     """Callers that vanish in an upload must not keep others from a free link."""
--- a/tests/test_tokens/test_load/test_link_usage.py
+++ b/tests/test_tokens/test_load/test_link_usage.py
@@ -25,6 +25,7 @@
     usage = driver.tables.link_usage
     for _ in range(round(seconds / 0.05)):
         driver.core.begin_iteration(driver.now)
+        driver.collect_logs(driver.core.tick(driver.now))
         driver.now += 0.05
         for direction in directions:
             total = getattr(usage, direction) + int(share * 0.05 * RATE)
@@ -50,11 +51,17 @@
     """Packets that queued in the socket for a second are read within a moment."""
     driver = make_host()
     use_link(driver, 0.3, 1.5)
-    driver.now += 1.0
-    driver.tables.link_usage.received += int(0.3 * RATE)
-    driver.core.begin_iteration(driver.now)
+    for _ in range(5):
+        # The process stalls, reads its socket only after that, and runs its timers.
+        driver.now += 1.0
+        driver.core.begin_iteration(driver.now)
+        driver.tables.link_usage.received += int(0.3 * RATE)
+        driver.core.tick(driver.now)
+        driver.now += 0.05
+        driver.core.begin_iteration(driver.now)
+        assert not driver.tables.link_usage.nearly_full
     assert link_utilization(driver, 0.2) < 0.4
-    assert not driver.tables.link_usage.full
+    assert not driver.tables.link_usage.nearly_full
 
 
 def test_the_link_is_observed_only_with_a_limit():
@@ -64,9 +71,9 @@
     assert driver.tables.local_path.disturbed_at == -math.inf
     driver.core.set_link_limit(RATE, driver.now)
     use_link(driver, 1.0, 1.0)
-    assert driver.tables.link_usage.full
+    assert driver.tables.link_usage.nearly_full
     driver.core.set_link_limit(math.inf, driver.now)
-    assert not driver.tables.link_usage.full
+    assert not driver.tables.link_usage.nearly_full
 
 
 def test_changes_of_the_link_state_are_logged():
@@ -76,7 +83,7 @@
         driver.collect_logs(driver.core.tick(driver.now))
     found = [log for log in driver.logs if log.number == LINK_STATE_CHANGED.number]
     assert [log.fields["full"] for log in found] == [True, False]
-    assert found[0].fields["utilization"] > 0.8
+    assert found[0].fields["recent_utilization"] > 0.8
     assert found[0].fields["link_rate"] == RATE
 
 
--- a/tests/test_tokens/test_load/test_request_sizes.py
+++ b/tests/test_tokens/test_load/test_request_sizes.py
@@ -49,6 +49,8 @@
         caller.acknowledge_answer(400)
         caller.acknowledge_answer(400)
         driver.core.begin_iteration(driver.now)
+        driver.core.tick(driver.now)
+    driver.core.begin_iteration(driver.now)
     row = driver.tables.request_sizes[PREVIEWS]
     assert row.requests == MIN_REQUESTS
     # The opening counts as one byte of the first request.
