Name the parts of the route history for what they do

A reader who had not seen the work stumbled over unchecked, split, draws and lose_shard, over a default written three times and over comments without a reason. Names, comments and test descriptions only; the default lifetime of a flow is one constant. Behaviour is unchanged.

--- a/citronspring/host_settings.py
+++ b/citronspring/host_settings.py
@@ -11,6 +11,9 @@
 
     from citronspring.endpoints import Endpoint
 
+#: Longest lifetime of a flow in seconds, for settings that do not limit it.
+DEFAULT_FLOW_LIFETIME = 3600.0
+
 #: Load, in outstanding requests per slot, that a request and answer of up to 4 KB must
 #: save for their flow to leave the home zone. It is below one request, so that the zone
 #: only decides between targets that are about equally busy.
@@ -50,7 +53,7 @@
     #: for lack of room on the link only where its capacity is known.
     link_limit: float = INFINITY
     #: Longest lifetime of a flow in seconds.
-    flow_lifetime: float = 3600.0
+    flow_lifetime: float = DEFAULT_FLOW_LIFETIME
     #: Cost of leaving this host's zone, see `DEFAULT_ZONE_CROSSING_COST`.
     zone_crossing_cost: float = DEFAULT_ZONE_CROSSING_COST
 
--- a/citronspring/platform/route_histories.py
+++ b/citronspring/platform/route_histories.py
@@ -16,15 +16,18 @@
 
     from citronspring.tokens.messages import WriteRouteHistory
 
-#: Shards by the end of their key.
-SHARDS = {f"{shard:x}": shard for shard in range(16)}
+#: Shards by the end of their key, one hexadecimal digit.
+SHARD_BY_SUFFIX = {f"{shard:x}": shard for shard in range(16)}
 
 
 def decode_shard(
     key: str, value: str | None, revision: int
 ) -> RouteHistory | Unreadable | None:
-    """Return the decoded shard, None if the key names none; no value: removed."""
-    shard = SHARDS.get(key.removeprefix(HISTORY_PREFIX))
+    """Return the decoded shard, None if the key names none.
+
+    ``value`` is None for a removed entry.
+    """
+    shard = SHARD_BY_SUFFIX.get(key.removeprefix(HISTORY_PREFIX))
     if shard is None:
         return None
     if value is None:
--- a/citronspring/platform/settings.py
+++ b/citronspring/platform/settings.py
@@ -6,6 +6,7 @@
 from citronspring.endpoints import Endpoint
 from citronspring.errors import SettingsError
 from citronspring.host_settings import (
+    DEFAULT_FLOW_LIFETIME,
     DEFAULT_ZONE_CROSSING_COST,
     HostSettings,
     invalid_field,
@@ -29,9 +30,6 @@
 #: arrive through the same watch as the configuration, so the shortest bound applies.
 OTHER_CHANGE_BOUNDS = ("drain_ms", "evacuate_ms")
 
-#: Longest lifetime of a flow in seconds, for settings that do not limit it.
-DEFAULT_FLOW_LIFETIME = 3600.0
-
 #: Bytes in a megabit; link rates are given in megabits per second.
 BYTES_PER_MEGABIT = 125_000
 
--- a/citronspring/tokens/balancer.py
+++ b/citronspring/tokens/balancer.py
@@ -192,12 +192,12 @@
         call = next_election_call(self.tables, endpoint, delay, now)
         history = self.tables.route_history
         if not history.is_used:
-            history.unchecked.clear()
+            history.routes_to_check.clear()
         if not self.tables.election.lease:
             # A host that becomes zone reader waits a random delay again.
             history.write_at = INFINITY
             return call
-        if call is not None or not history.unchecked:
+        if call is not None or not history.routes_to_check:
             return call
         # Imported on first use; most deployments never write a route history.
         from citronspring.tokens.route_history import next_history_write
@@ -209,7 +209,7 @@
         """Return the time at which the next election call may be due."""
         deadline = next_election_deadline(self.tables)
         history = self.tables.route_history
-        if history.unchecked and self.tables.election.lease:
+        if history.routes_to_check and self.tables.election.lease:
             return min(deadline, history.write_at)
         return deadline
 
--- a/citronspring/tokens/entry_updates.py
+++ b/citronspring/tokens/entry_updates.py
@@ -202,9 +202,9 @@
     fields: dict[str, object] = {"entry": entry.name, "reason": entry.reason}
     actions.append(Log(ENTRY_UNREADABLE.number, fields))
     if entry.shard is not None:
-        from citronspring.tokens.route_history import lose_shard
+        from citronspring.tokens.route_history import apply_unreadable_shard
 
-        return lose_shard(tables, entry.shard, entry.revision, now, actions)
+        return apply_unreadable_shard(tables, entry.shard, entry.revision, now, actions)
     row = tables.targets.get(entry.name)
     if row is None or not is_of_later_start(row, entry.started):
         return False
@@ -363,9 +363,9 @@
         for end in missing_drains(tables, drained, revision):
             apply_change(tables, end, now, actions)
     if tables.route_history.shards:
-        from citronspring.tokens.route_history import missing_histories
+        from citronspring.tokens.route_history import removed_shards
 
-        for removal in missing_histories(tables, shards, revision):
+        for removal in removed_shards(tables, shards, revision):
             apply_change(tables, removal, now, actions)
 
 
--- a/citronspring/tokens/route_history.py
+++ b/citronspring/tokens/route_history.py
@@ -127,7 +127,7 @@
         }
         actions.append(Log(SERVICE_FORGOTTEN.number, fields))
     if row.recorded:
-        history.unchecked.add(key)
+        history.routes_to_check.add(key)
     else:
         del rows[service]
 
@@ -146,18 +146,18 @@
 ) -> bool:
     """Apply a shard, or services that only hosts know; return whether it was newer."""
     if history.revision == 0:
-        return apply_unrecorded(tables, history, now, actions)
+        return apply_unrecorded_services(tables, history, now, actions)
     return replace_shard(tables, history, history.removed, now, actions)
 
 
-def lose_shard(
+def apply_unreadable_shard(
     tables: Tables, shard: int, revision: int, now: float, actions: list[Action]
 ) -> bool:
     """Apply a shard whose content cannot be decoded, and so counts as lost."""
     return replace_shard(tables, RouteHistory(shard, {}, revision), True, now, actions)
 
 
-def missing_histories(
+def removed_shards(
     tables: Tables, listed: set[int | None], revision: int
 ) -> list[RouteHistory]:
     """Return removals of the shards that a list of all entries lacks."""
@@ -168,7 +168,7 @@
     ]
 
 
-def apply_unrecorded(
+def apply_unrecorded_services(
     tables: Tables, history: RouteHistory, now: float, actions: list[Action]
 ) -> bool:
     """Remember former services that a peer knows; return whether any is new."""
@@ -181,7 +181,7 @@
             if service not in rows:
                 row = rows[service] = RouteServiceRow()
                 remember_service(tables, key, service, row, now, actions)
-                tables.route_history.unchecked.add(key)
+                tables.route_history.routes_to_check.add(key)
                 changed = True
     return changed
 
@@ -211,7 +211,7 @@
     for key in sorted(before.keys() | history.routes.keys()):
         services = history.routes.get(key, ())
         if before.get(key, ()) != services:
-            state.unchecked.add(key)
+            state.routes_to_check.add(key)
             if key in tables.routes:
                 mark_recorded(tables, key, services, lost, now, actions)
     return True
@@ -253,7 +253,7 @@
     Parameters
     ----------
     tables : Tables
-        All state; this host holds the lease of its zone, and some routes are unchecked.
+        All state; this host holds the lease of its zone, and some routes are to check.
     fresh : bool
         Whether the store has confirmed the state within its bound. After a restore the
         state may still lack what operators have to rewrite; until then this host only
@@ -265,23 +265,23 @@
     if state.write_at == INFINITY:
         # Other readers' writes arrive once the next watch is open.
         earliest = max(tables.reader.call_at, state.answered_at + WRITE_INTERVAL, now)
-        state.write_at = earliest + draw_delay(tables)
+        state.write_at = earliest + next_jitter(tables)
     if now < state.write_at:
         return None
     state.write_at = now + WRITE_INTERVAL
     if not fresh or not may_write(tables):
         return None
     histories = shards_to_write(tables, now)
-    if not state.unchecked:
+    if not state.routes_to_check:
         state.write_at = INFINITY
     return WriteRouteHistory(tuple(histories)) if histories else None
 
 
-def draw_delay(tables: Tables) -> float:
+def next_jitter(tables: Tables) -> float:
     """Return the next random delay of this host."""
     state = tables.route_history
-    state.draws += 1
-    draw = crc32(f"{tables.host_id} {state.draws}".encode()) % 1000 / 1000
+    state.jitter_count += 1
+    draw = crc32(f"{tables.host_id} {state.jitter_count}".encode()) % 1000 / 1000
     return WRITE_JITTER * draw
 
 
@@ -303,12 +303,14 @@
     may_remove = not tables.restore_grace.awaits_operators
     confirmed = tables.reader.current_at > state.applied_at
     changes: dict[int, dict[int, tuple[str, ...]]] = {}
-    for key in sorted(state.unchecked):
+    for key in sorted(state.routes_to_check):
         recorded = recorded_services(tables, key)
         wanted = services_to_record(tables, key, recorded, now)
         if wanted == recorded:
-            state.unchecked.discard(key)
+            state.routes_to_check.discard(key)
             continue
+        # A route counts as removed only if a watch that was sent after the shard was
+        # applied confirms the configuration.
         if not may_remove or (key not in tables.routes and not confirmed):
             wanted = tuple(sorted({*wanted, *recorded}))
         if wanted != recorded:
@@ -324,7 +326,7 @@
     rows = tables.route_services.get(key, {})
     services = sorted(name for name, row in rows.items() if now < row.forget_at)
     has_earlier = any(row.forget_at != INFINITY for row in rows.values())
-    if recorded or has_earlier or tables.route_history.split_routes:
+    if recorded or has_earlier or tables.route_history.multi_service_routes:
         return tuple(services)
     return ()
 
@@ -347,7 +349,10 @@
 def handle_write_answer(
     tables: Tables, call: WriteRouteHistory, answer: ElectionAnswer, now: float
 ) -> list[Action]:
-    """Plan the next write; what a write has changed is read by the watch."""
+    """Schedule the next write.
+
+    The tables are updated only when the watch delivers this one.
+    """
     state = tables.route_history
     state.answered_at = now
     state.write_at = now + WRITE_INTERVAL
@@ -360,7 +365,7 @@
         tables.counters["route-history-writes"] += 1
         return [Log(HISTORY_WRITTEN.number, fields)]
     tables.counters["route-history-failed-writes"] += 1
-    state.write_at += draw_delay(tables)
+    state.write_at += next_jitter(tables)
     fields["cause"] = failure_cause(answer)
     return [Log(HISTORY_WRITE_FAILED.number, fields)]
 
--- a/citronspring/tokens/routes.py
+++ b/citronspring/tokens/routes.py
@@ -70,29 +70,35 @@
         count_priority(tables, known, -1)
     tables.routes[route.key] = route
     count_priority(tables, route, 1)
-    note_split(tables, known, route)
+    count_multi_service_route(tables, known, route)
     set_services(tables, route, now, actions)
 
 
-def is_split(route: Route) -> bool:
+def has_several_services(route: Route) -> bool:
     """Whether a route has several services."""
     return len(route.shares) > 1
 
 
-def note_split(tables: Tables, before: Route | None, route: Route) -> None:
+def count_multi_service_route(
+    tables: Tables, before: Route | None, route: Route
+) -> None:
     """Count a route with several services; with the first one, all are recorded."""
     history = tables.route_history
-    was_split = before is not None and is_split(before)
-    history.split_routes += is_split(route) - was_split
-    if history.split_routes == 1 and is_split(route) and not was_split:
-        history.unchecked.update(tables.routes)
+    was_split = before is not None and has_several_services(before)
+    history.multi_service_routes += has_several_services(route) - was_split
+    if (
+        history.multi_service_routes == 1
+        and has_several_services(route)
+        and not was_split
+    ):
+        history.routes_to_check.update(tables.routes)
 
 
 def remove_services(tables: Tables, key: int, route: Route) -> None:
     """Remove the services of a removed route, also from the route history."""
     history = tables.route_history
-    history.split_routes -= is_split(route)
-    history.unchecked.add(key)
+    history.multi_service_routes -= has_several_services(route)
+    history.routes_to_check.add(key)
     for service in tables.route_services.pop(key):
         history.earlier.discard((key, service))
 
@@ -100,7 +106,7 @@
 def set_services(
     tables: Tables, route: Route, now: float, actions: list[Action]
 ) -> None:
-    """Update the services of a route; those it no longer names are kept for a while."""
+    """Update the services of a route; others are kept until their deadline."""
     history = tables.route_history
     rows = tables.route_services.setdefault(route.key, {})
     named = {share.service for share in route.shares}
@@ -111,7 +117,7 @@
         elif row.forget_at != INFINITY:
             row.forget_at = row.earlier_since = INFINITY
             history.earlier.discard((route.key, service))
-    history.unchecked.add(route.key)
+    history.routes_to_check.add(route.key)
     if history.shards or len(rows) > len(named):
         # Imported on first use; most starts need no earlier services.
         from citronspring.tokens.route_history import remember_services
--- a/citronspring/tokens/store_reader.py
+++ b/citronspring/tokens/store_reader.py
@@ -253,9 +253,9 @@
     restored = store_was_restored(tables)
     apply_list(tables, reader.list_entries, reader.list_revision, now, actions)
     if any(row.warm_at > now for row in tables.targets.values()):
-        from citronspring.tokens.warmups import note_listed_warmups
+        from citronspring.tokens.warmups import record_listed_warmups
 
-        note_listed_warmups(tables, now)
+        record_listed_warmups(tables, now)
     if restored:
         drop_unknown_lease(tables)
     if reader.list_revision > reader.revision:
--- a/citronspring/tokens/tables.py
+++ b/citronspring/tokens/tables.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 from citronspring.histogram import Histogram
-from citronspring.host_settings import DEFAULT_ZONE_CROSSING_COST
+from citronspring.host_settings import (
+    DEFAULT_FLOW_LIFETIME,
+    DEFAULT_ZONE_CROSSING_COST,
+)
 from citronspring.light_stdlib import INFINITY, TYPE_CHECKING, Counter, deque
 from citronspring.records import field, record
 from citronspring.tokens.rows import (
@@ -195,25 +198,25 @@
     #: Shards as last read from the store.
     shards: dict[int, RouteHistory] = field(default_factory=dict)
     #: Number of routes with several services.
-    split_routes: int = 0
+    multi_service_routes: int = 0
     #: Earlier services that are still remembered, as (route, service).
     earlier: set[tuple[int, str]] = field(default_factory=set)
     #: Keys of routes whose record may have to be written.
-    unchecked: set[int] = field(default_factory=set)
+    routes_to_check: set[int] = field(default_factory=set)
     #: When a shard was last applied, and when a write was last answered.
     applied_at: float = -INFINITY
     answered_at: float = -INFINITY
     #: Time of the next write; infinite until one is planned.
     write_at: float = INFINITY
     #: Number of planned delays, from which the next random delay is drawn.
-    draws: int = 0
+    jitter_count: int = 0
     #: Packets forwarded to targets of earlier services, by route.
     packets: Counter[int] = field(default_factory=Counter)
 
     @property
     def is_used(self) -> bool:
         """Whether the store records services, or has to."""
-        return bool(self.shards or self.earlier or self.split_routes)
+        return bool(self.shards or self.earlier or self.multi_service_routes)
 
 
 def make_histograms() -> dict[str, Histogram]:
@@ -239,7 +242,7 @@
     route_services: dict[int, dict[str, RouteServiceRow]] = field(default_factory=dict)
     route_history: RouteHistoryState = field(default_factory=RouteHistoryState)
     #: Longest lifetime of a flow in seconds.
-    flow_lifetime: float = 3600.0
+    flow_lifetime: float = DEFAULT_FLOW_LIFETIME
     targets: dict[str, TargetRow] = field(default_factory=dict)
     by_token: dict[int, TargetRow] = field(default_factory=dict)
     #: Registered targets of each service, including those that are leaving.
--- a/citronspring/tokens/warmups.py
+++ b/citronspring/tokens/warmups.py
@@ -29,7 +29,7 @@
 FIRST_SEQUENCE = 1
 
 
-def note_listed_warmups(tables: Tables, now: float) -> None:
+def record_listed_warmups(tables: Tables, now: float) -> None:
     """Record the targets in warm-up of a list that was read at ``now``.
 
     Only the entries that targets wrote at their start tell when their warm-up ends.
@@ -46,7 +46,10 @@
 
 
 def was_just_read(row: TargetRow, now: float) -> bool:
-    """Whether the warm-up of a target counts in full from ``now``."""
+    """Whether the warm-up of a target counts in full from ``now``.
+
+    The comparison is exact: `apply_target` has computed the same sum.
+    """
     return row.target.warmup > 0.0 and row.warm_at == now + row.target.warmup
 
 
--- a/tests/test_tokens/test_load/link_model.py
+++ b/tests/test_tokens/test_load/link_model.py
@@ -7,8 +7,15 @@
 from citronspring.tokens.entities import Packet, token_of
 from citronspring.tokens.messages import Forward
 
-#: Bytes of headers and payload, packets in flight, seconds of trip, work and never.
-HEADERS, PAYLOAD, WINDOW, ROUND_TRIP, WORK, NEVER = 59, 1200, 16, 0.008, 0.013, 1e9
+#: Bytes of a packet's headers and its largest payload; packets in flight.
+HEADERS = 59
+PAYLOAD = 1200
+WINDOW = 16
+
+#: Seconds of a round trip and of a request's work; time of one that has not ended.
+ROUND_TRIP = 0.008
+WORK = 0.013
+NEVER = 1e9
 
 
 class LinkModel:
--- a/tests/test_tokens/test_load/test_host_capacity.py
+++ b/tests/test_tokens/test_load/test_host_capacity.py
@@ -96,7 +96,7 @@
 
 
 def test_short_requests_are_in_time_beside_uploads():
-    """Uploads choke a link of 5 Mbit/s while short requests are due in 450 ms."""
+    """Uploads saturate a link of 5 Mbit/s while short requests are due in 450 ms."""
     writes, uploads, targets = replay(RATE)
     assert count_in_time(writes, 0.45) == len(writes) == 100
     # What the link carries in four seconds is used for uploads that are in time.
--- a/tests/test_tokens/test_route_history.py
+++ b/tests/test_tokens/test_route_history.py
@@ -243,6 +243,7 @@
 
 
 def test_deployment_with_one_service_a_route_writes_nothing():
+    """A deployment that needs no history would pay for its writes."""
     store = Store("previews")
     reader = store.start_reader()
     assert next_write(reader) is None
@@ -309,8 +310,8 @@
     reader = store.start_reader()
     write_all(store, reader)
     store.change_services("archive", "previews")
-    assert reader.tables.route_history.unchecked == {PREVIEWS}
-    assert reader.tables.route_history.split_routes == 1
+    assert reader.tables.route_history.routes_to_check == {PREVIEWS}
+    assert reader.tables.route_history.multi_service_routes == 1
     assert next_write(reader) is None
 
 
@@ -482,7 +483,8 @@
     assert "previews" not in reader.tables.route_services[PREVIEWS]
 
 
-def test_lifetime_of_flows_is_a_setting():
+def test_former_service_is_kept_for_the_lifetime_of_flows():
+    """Forgotten sooner, it would take the oldest flows with it."""
     store = Store("previews")
     host = store.start_host()
     host.tables.flow_lifetime = 60.0
@@ -528,6 +530,7 @@
 
 
 def test_service_that_comes_back_is_not_forgotten():
+    """The deadline set when it was replaced would drop flows of a service in force."""
     store = Store("previews")
     reader = store.start_reader()
     store.change_services("archive")
