--- a/review/standins.py
+++ b/review/standins.py
@@ -42,7 +42,7 @@
 RESET_WINDOW = 76_800
 PROBE_SECONDS = 0.5
 HEARTBEAT_SECONDS = 1.2
-RESTART_DELAY = 0.5
+RESTART_DELAY = 0.3
 
 #: Bounds of the site `swell-lb-grown`.
 BOUNDS = {
@@ -170,10 +170,13 @@
 class Store:
     """The platform's store; linearizable, one revision for all changes."""
 
-    PAGE = 500
+    #: Items of a page; the pages say "at most about 500", the site's sheet has 50.
+    PAGE = 50
+
+    FIRST_REVISION = 10
 
     def __init__(self):
-        self.revision = 10
+        self.revision = self.FIRST_REVISION
         self.items = {}
         self.events = []
         self.changed = asyncio.Event()
@@ -291,10 +294,12 @@
         end = time.monotonic() + int(query["wait_ms"]) / 1000
         while True:
             self.end_leases()
+            # Each event raises the revision by one.
+            start = max(after - self.FIRST_REVISION, 0)
             events = [
                 event
-                for event in self.events
-                if event["revision"] > after and event["key"].startswith(prefix)
+                for event in self.events[start:]
+                if event["key"].startswith(prefix)
             ]
             left = end - time.monotonic()
             if events or left <= 0:
