--- a/review/standins.py
+++ b/review/standins.py
@@ -762,6 +762,10 @@
         self.command = shlex.split(role["run"])
         self.template = (ROOT / role["template"]).read_text()
         self.logs = {}
+        #: The host that a flow's latest packet was sent to.
+        self.via = {}
+        #: Seconds until a process that has ended is started again.
+        self.restart_delay = RESTART_DELAY
 
     def add(self, name, zone, ip):
         """Add a host."""
@@ -889,7 +893,7 @@
                 self.world.record.write("OWN-END", host=host.name, code=code)
             else:
                 self.world.record.write("host-end", host=host.name, code=code)
-            await asyncio.sleep(RESTART_DELAY)
+            await asyncio.sleep(self.restart_delay)
             self.start(host)
 
     async def roll(self, gap, count):
@@ -925,6 +929,7 @@
             host = ready[draw % len(ready)]
         else:
             host = max(ready, key=lambda one: crc32(f"{draw} {one.name}".encode()))
+        self.via[key] = host.name
         self.socket.sendto(data, (host.ip, self.world.port))
 
     async def until_ready(self, seconds=10.0):
@@ -1081,10 +1086,15 @@
     return True
 
 
+#: Exit codes of a case; an error of the interpreter is none of them.
+HELD, COULD_NOT_RUN, BROKEN = 0, 2, 3
+
+
 def run_case(case):
-    """Run a case; exit with 1 if a rule was broken, 0 if not, 2 if it couldn't run.
+    """Run a case and return its exit code.
 
-    ``case`` takes whether there is trouble, and returns the world and what was broken.
+    ``case.make`` returns the world, and ``case.play`` what was broken; it takes the
+    world and whether there is trouble.
     """
     trouble = os.environ.get("TROUBLE", "1") != "0"
     world = None
@@ -1093,7 +1103,7 @@
         broken = asyncio.run(case.play(world, trouble))
     except Exception as error:  # noqa: BLE001
         print(f"the case couldn't run: {error!r}")
-        return 2
+        return COULD_NOT_RUN
     finally:
         if world is not None:
             world.platform.stop()
@@ -1105,4 +1115,4 @@
         "requests", **{k.replace(" ", "-"): v for k, v in world.ends.items()}
     )
     world.record.close()
-    return 1 if broken or world.broken else 0
+    return BROKEN if broken or world.broken else HELD
