--- a/review/1/case.py
+++ b/review/1/case.py
@@ -4,7 +4,7 @@
 import sys
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
+sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "support"))
 
 from standins import Client, Flow, Server, World, run_case  # noqa: E402
 
--- a/review/standins.py
+++ b/review/support/standins.py
@@ -24,7 +24,7 @@
 from urllib.parse import parse_qs, urlsplit
 from zlib import crc32
 
-ROOT = Path(__file__).resolve().parents[1]
+ROOT = Path(__file__).resolve().parents[2]
 
 HEADER = struct.Struct(">IIBIHHIIIH")
 SERVER_ID = struct.Struct(">Q")
