Read a number out of range as a value of another type, in every JSON text

Callers saw: another program writes one entry under the prefix of the targets, with a `concurrency` of 401 digits, and every host ends within milliseconds, again at each start, until the entry is gone.

Cause: JSON limits no number. Python reads integers of any size, 1e999 as infinity, NaN and Infinity. The decoders checked types, and arithmetic far from them raises OverflowError. The errors that decoders expect were listed in three modules, and the lists differed: two had no OverflowError, none had RecursionError.

Evidence: last line of each process, `target_load`.

Change: `json_text.loads`, through which all JSON of a host comes in, gives such a number as `NumberOutOfRange`. All checks that refuse a text in place of a number refuse it too, and a field that nobody uses harms nothing. Nesting beyond the interpreter's limit is a ValueError there, and the list of errors stands once.

--- a/citronspring/json_text.py
+++ b/citronspring/json_text.py
@@ -1,7 +1,9 @@
 """JSON as in `json`, without the modules that `json` imports.
 
 See `citronspring.light_stdlib` for the reason. The C functions behind `json` do the
-work, so output and errors are the same.
+work, so output and errors are the same. Only numbers differ: `json` reads integers of
+any size and infinite floats, with which arithmetic far from the decoder fails. One such
+number, written by another program, would end every host that reads it.
 """
 
 from __future__ import annotations
@@ -9,7 +11,53 @@
 from citronspring.errors import StoredValueError
 from citronspring.light_stdlib import TYPE_CHECKING
 
-__all__ = ["dumps", "loads", "loads_object", "compact_encoder"]
+__all__ = [
+    "DECODE_ERRORS",
+    "NumberOutOfRange",
+    "compact_encoder",
+    "dumps",
+    "loads",
+    "loads_object",
+]
+
+#: Most characters of an integer that is read, and the bound of floats. The largest
+#: numbers in use are revisions of 24 digits; sums and products of several numbers in
+#: this range are finite floats.
+MAX_INTEGER_CHARACTERS = 30
+MAX_FLOAT = 1e30
+
+#: Characters of a number out of range that an error shows.
+SHOWN_CHARACTERS = 40
+
+#: Exceptions raised by decoding a value that does not have the specified form.
+DECODE_ERRORS = (
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
+
+
+class NumberOutOfRange:
+    """A number that is read from JSON but cannot be used in calculations.
+
+    It is a value of another type, as a text would be, so that it only invalidates the
+    field that holds it. Conversions and comparisons raise TypeError.
+
+    Parameters
+    ----------
+    text : str
+        The number as it was written.
+    """
+
+    def __init__(self, text: str) -> None:
+        self.text = text
+
+    def __repr__(self) -> str:
+        return f"number out of range: {self.text[:SHOWN_CHARACTERS]}"
+
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -24,27 +72,37 @@
     #: Whitespace that may surround a value.
     WHITESPACE = " \t\n\r"
 
-    #: Names of numbers that are not part of JSON but accepted by `json`.
-    CONSTANTS = {
-        "-Infinity": float("-inf"),
-        "Infinity": float("inf"),
-        "NaN": float("nan"),
-    }
+    def parse_integer(text):
+        """Return the number in a text of digits."""
+        if len(text) > MAX_INTEGER_CHARACTERS:
+            return NumberOutOfRange(text)
+        return int(text)
+
+    def parse_float(text):
+        """Return the number in a text with a fraction or exponent."""
+        number = float(text)
+        if -MAX_FLOAT < number < MAX_FLOAT:
+            return number
+        return NumberOutOfRange(text)
 
     class ScannerOptions:
-        """Options that the scanner reads; the defaults of `json.loads`."""
+        """Options that the scanner reads; but for numbers the defaults of `json`."""
 
         strict = True
         object_hook = None
         object_pairs_hook = None
-        parse_float = float
-        parse_int = int
-        parse_constant = CONSTANTS.__getitem__
+        parse_float = parse_float
+        parse_int = parse_integer
+        # NaN and Infinity, which `json` reads although JSON does not have them.
+        parse_constant = NumberOutOfRange
 
     scan = make_scanner(ScannerOptions)
 
     def loads(text):
-        """Return the value in a str or UTF-8 text; raises ValueError if invalid."""
+        """Return the value in a str or UTF-8 text; raises ValueError if invalid.
+
+        Numbers that cannot be used in calculations are returned as `NumberOutOfRange`.
+        """
         if not isinstance(text, str):
             text = bytes(text).decode()
         text = text.strip(WHITESPACE)
@@ -53,6 +111,8 @@
         except (StopIteration, SystemError):
             # Without the standard module the scanner cannot report what is wrong.
             end = None
+        except RecursionError as error:
+            raise ValueError("the value is nested too deeply") from error
         if end != len(text):
             return parse_with_json_module(text)
         return value
@@ -104,7 +164,7 @@
     """Return the JSON object in a value."""
     try:
         found = loads(value)
-    except (ValueError, RecursionError) as error:
+    except ValueError as error:
         raise StoredValueError(f"the value is not valid JSON: {error}") from error
     if not isinstance(found, dict):
         raise StoredValueError("the value is not a JSON object")
--- a/citronspring/platform/entries.py
+++ b/citronspring/platform/entries.py
@@ -4,7 +4,7 @@
 
 from citronspring.addresses import parse_endpoint, parse_ipv4, parse_port
 from citronspring.errors import StoredValueError
-from citronspring.json_text import dumps, loads_object
+from citronspring.json_text import DECODE_ERRORS, dumps, loads_object
 from citronspring.light_stdlib import INFINITY, TYPE_CHECKING
 from citronspring.tokens.entities import Route, Share, route_key
 from citronspring.tokens.entries import Configuration, Target, ZoneReader
@@ -61,16 +61,6 @@
 
 MILLISECOND = 0.001
 
-#: Exceptions raised by decoding a value that does not have the specified form.
-DECODE_ERRORS = (
-    AttributeError,
-    KeyError,
-    IndexError,
-    OverflowError,
-    TypeError,
-    ValueError,
-)
-
 
 def decode_entry(
     key: str, value: bytes, revision: int
--- a/citronspring/platform/leases.py
+++ b/citronspring/platform/leases.py
@@ -5,9 +5,9 @@
 from binascii import b2a_base64
 
 from citronspring.http_request import HttpRequest
-from citronspring.json_text import dumps, loads
+from citronspring.json_text import DECODE_ERRORS, dumps, loads
 from citronspring.light_stdlib import TYPE_CHECKING
-from citronspring.platform.entries import DECODE_ERRORS, READER_PREFIX, encode_reader
+from citronspring.platform.entries import READER_PREFIX, encode_reader
 from citronspring.tokens.entries import count_of
 from citronspring.tokens.messages import (
     ClaimZone,
--- a/citronspring/platform/route_histories.py
+++ b/citronspring/platform/route_histories.py
@@ -5,9 +5,9 @@
 from binascii import a2b_base64, b2a_base64
 
 from citronspring.errors import StoredValueError
-from citronspring.json_text import dumps, loads_object
+from citronspring.json_text import DECODE_ERRORS, dumps, loads_object
 from citronspring.light_stdlib import TYPE_CHECKING
-from citronspring.platform.entries import DECODE_ERRORS, HISTORY_PREFIX
+from citronspring.platform.entries import HISTORY_PREFIX
 from citronspring.tokens.codec import decode_services
 from citronspring.tokens.entries import RouteHistory, Unreadable, count_of
 
--- a/citronspring/platform/store.py
+++ b/citronspring/platform/store.py
@@ -6,10 +6,9 @@
 
 from citronspring.errors import StoredValueError
 from citronspring.http_request import HttpRequest, quote_value
-from citronspring.json_text import loads, loads_object
+from citronspring.json_text import DECODE_ERRORS, loads, loads_object
 from citronspring.light_stdlib import TYPE_CHECKING
 from citronspring.platform.entries import (
-    DECODE_ERRORS,
     DRAIN_PREFIX,
     HISTORY_PREFIX,
     READER_PREFIX,
--- a/citronspring/tokens/change_feed.py
+++ b/citronspring/tokens/change_feed.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-from citronspring.json_text import dumps
+from citronspring.json_text import DECODE_ERRORS, dumps
 from citronspring.light_stdlib import TYPE_CHECKING
 from citronspring.records import record
 from citronspring.tokens.codec import (
-    DECODE_ERRORS,
     FORMAT_VERSION,
     decode_body,
     decode_change,
--- a/citronspring/tokens/codec.py
+++ b/citronspring/tokens/codec.py
@@ -29,9 +29,6 @@
 #: version may lack such data, so its absence there means nothing.
 FORMAT_VERSION = 4
 
-#: Errors that decoding raises for a body of another shape, as another release may send.
-DECODE_ERRORS = (AttributeError, IndexError, KeyError, TypeError, ValueError)
-
 #: Size in bytes from which a body is compressed. Compression takes 0.6 ms for a
 #: difference of 1,400 routes and reduces it from 185 to 26 KB, so that a zone reader's
 #: share of its link serves a whole zone. A body of one or two packets gains nothing.
@@ -57,7 +54,7 @@
 
 
 def decode_body(body: bytes) -> Any:
-    """Return the JSON value in a body; raise one of `DECODE_ERRORS` on failure."""
+    """Return the JSON value in a body; raise ValueError on failure."""
     if body.startswith(b"{"):
         return loads(body)
     from zlib import decompressobj, error
--- a/citronspring/tokens/peer_snapshot.py
+++ b/citronspring/tokens/peer_snapshot.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-from citronspring.json_text import dumps
+from citronspring.json_text import DECODE_ERRORS, dumps
 from citronspring.light_stdlib import TYPE_CHECKING
 from citronspring.tokens.codec import (
-    DECODE_ERRORS,
     FORMAT_VERSION,
     decode_body,
     decode_configuration,
--- a/citronspring/tokens/suspicions.py
+++ b/citronspring/tokens/suspicions.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from citronspring.json_text import dumps, loads
+from citronspring.json_text import DECODE_ERRORS, dumps, loads
 from citronspring.light_stdlib import TYPE_CHECKING
 from citronspring.records import record
 
@@ -17,9 +17,6 @@
 #: packet.
 MAX_SUSPICIONS = 30
 
-#: Errors that decoding raises for a message of another shape.
-DECODE_ERRORS = (AttributeError, IndexError, KeyError, TypeError, ValueError)
-
 #: Largest valid age in seconds; anything older is no evidence.
 MAX_AGE = 60.0
 
--- a/tests/test_platform/test_process.py
+++ b/tests/test_platform/test_process.py
@@ -93,6 +93,16 @@
     assert 'kind="dropped malformed"' in serving.get("/metrics")[1]
 
 
+def test_entry_with_a_number_out_of_range_does_not_end_the_process(serving):
+    """One entry of another writer ends every host, again at each start."""
+    entry = {**TARGET, "service": "inventory", "concurrency": 10**400}
+    serving.store.put("servers/i-00c0ffee", entry)
+    assert eventually(lambda: serving.logged("entry-unreadable"))
+    assert serving.process.poll() is None
+    serving.send(packet(SYN))
+    assert serving.target.recv(2048)
+
+
 def test_shuts_down_in_order(serving):
     """A stopped host reports unready, keeps forwarding, then exits with 0."""
     serving.process.send_signal(signal.SIGTERM)
