Refuse lengths and statuses of thousands of digits in HTTP heads

Callers saw: nothing yet. One request with a Content-Length of 5,000 digits to the readiness address or to that for other hosts ends the process, and with it all flows through the host. So does such a length or status in a response of the store or of another host.

The parser checked for digits, not how many; `int` refuses more than 4,300 with a ValueError, and the callers expect MessageError.

Evidence: found by putting long numbers into every input of a host; a real process ended ("Exceeds the limit (4300 digits)").

Change: a status has three digits, a length at most 18.

Measured: of 44 tests in test_http_messages and test_process 4 failed before, none now.

--- a/citronspring/http_messages.py
+++ b/citronspring/http_messages.py
@@ -20,6 +20,11 @@
 #: Largest body of a request in bytes; no valid request here has a body.
 MAX_REQUEST_BODY_BYTES = 16_384
 
+#: Digits of a status, and most digits of a length in bytes. The interpreter refuses to
+#: convert thousands of digits, with an error that would end the process.
+STATUS_DIGITS = 3
+MAX_LENGTH_DIGITS = 18
+
 #: Longest line with the size of a chunk in bytes.
 MAX_CHUNK_LINE_BYTES = 256
 
@@ -172,8 +177,8 @@
         start.append(b"")
     if len(start) != 3:
         raise_malformed(lines[0])
-    version, status = (start[0], start[1]) if answer else (start[2], b"0")
-    if not version.startswith(b"HTTP/1.") or not status.isdigit():
+    version = start[0] if answer else start[2]
+    if not version.startswith(b"HTTP/1.") or (answer and not is_status(start[1])):
         raise_malformed(lines[0])
     headers: dict[bytes, bytes] = {}
     for line in lines[1:]:
@@ -186,6 +191,11 @@
     return Message((start[0], start[1], start[2]), headers)
 
 
+def is_status(text: bytes) -> bool:
+    """Whether a text is a status code."""
+    return text.isdigit() and len(text) == STATUS_DIGITS
+
+
 def raise_malformed(line: bytes) -> NoReturn:
     """Raise the error for an invalid line."""
     raise MessageError(f"invalid line in a message: {line!r:.80}")
@@ -200,7 +210,7 @@
             raise MessageError(f"unsupported transfer coding: {coding!r:.40}")
         return None
     if length is not None:
-        if not length.isdigit():
+        if not length.isdigit() or len(length) > MAX_LENGTH_DIGITS:
             raise MessageError(f"invalid content length: {length!r:.40}")
         return int(length)
     if answer and message.status not in BODILESS_STATUSES:
--- a/tests/test_http_messages.py
+++ b/tests/test_http_messages.py
@@ -29,7 +29,10 @@
 INVALID_RESPONSES = [
     b"nonsense\r\n\r\n",
     b"HTTP/1.1 abc OK\r\nContent-Length: 0\r\n\r\n",
+    b"HTTP/1.1 2000 OK\r\nContent-Length: 0\r\n\r\n",
+    b"HTTP/1.1 " + b"2" * 5000 + b" OK\r\nContent-Length: 0\r\n\r\n",
     b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nContent-Length: " + b"9" * 5000 + b"\r\n\r\n",
     b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
     b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
     b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n",
--- a/tests/test_platform/test_process.py
+++ b/tests/test_platform/test_process.py
@@ -17,6 +17,7 @@
 from tests.test_platform.process import (
     ACK,
     COPIES,
+    READINESS,
     READS,
     SYN,
     TIMEOUT,
@@ -103,6 +104,17 @@
     assert serving.target.recv(2048)
 
 
+def test_request_with_a_length_of_thousands_of_digits_does_not_end_the_process(serving):
+    """Anyone who reaches an address of a host ends it with one request."""
+    head = b"GET /metrics HTTP/1.1\r\nContent-Length: " + b"9" * 5000 + b"\r\n\r\n"
+    for port in (READINESS, COPIES):
+        with socket.create_connection((serving.ip, port), TIMEOUT) as caller:
+            caller.sendall(head)
+            assert caller.recv(100) == b""
+    assert serving.process.poll() is None
+    assert serving.status() == 200
+
+
 def test_shuts_down_in_order(serving):
     """A stopped host reports unready, keeps forwarding, then exits with 0."""
     serving.process.send_signal(signal.SIGTERM)
