Check the types of all fields of a configuration and of answers

Callers saw: nothing yet. A configuration whose route names a list as its service ends every host that reads it, with "unhashable type". One with its `version` as a text of 400 digits is applied, and then each request for the metrics ends the host; weights and the idle timeout were taken from texts like "nan".

Cause: conversions (`int`, `float`, `str`) stood in place of checks. They accept texts with digits of any number, "nan" and "inf", so that a number out of range still came in, in quotes; services were not checked at all.

Evidence: the probe of the number out of range, with other types and with numbers in quotes: TypeError in `set_services`, OverflowError in `metrics_text`.

Change: `json_text` has one checked function for integers, numbers and texts, used by everything that decodes entries, answers and datagrams. They stand there and not in a module of their own, as a start imports at most 90 modules (`test_imports_no_heavy_module`). A configuration that does not pass is unreadable as a whole, as before for other invalid fields, and the last valid one stays in force.

--- a/citronspring/json_text.py
+++ b/citronspring/json_text.py
@@ -16,8 +16,11 @@
     "NumberOutOfRange",
     "compact_encoder",
     "dumps",
+    "integer",
     "loads",
     "loads_object",
+    "number",
+    "text",
 ]
 
 #: Most characters of an integer that is read, and the bound of floats. The largest
@@ -169,3 +172,30 @@
     if not isinstance(found, dict):
         raise StoredValueError("the value is not a JSON object")
     return found
+
+
+def integer(value: object) -> int:
+    """Return a field that holds a number as an integer.
+
+    Raises
+    ------
+    TypeError
+        If it holds something else, also a text with digits.
+    """
+    if type(value) is int:
+        return value
+    return int(number(value))
+
+
+def number(value: object) -> float:
+    """Return a field that holds a number; raises TypeError for anything else."""
+    if type(value) is int or type(value) is float:
+        return float(value)
+    raise TypeError(f"not a number: {value!r:.40}")
+
+
+def text(value: object) -> str:
+    """Return a field that holds a text; raises TypeError for anything else."""
+    if type(value) is str:
+        return value
+    raise TypeError(f"not a text: {value!r:.40}")
--- a/citronspring/platform/entries.py
+++ b/citronspring/platform/entries.py
@@ -4,7 +4,14 @@
 
 from citronspring.addresses import parse_endpoint, parse_ipv4, parse_port
 from citronspring.errors import StoredValueError
-from citronspring.json_text import DECODE_ERRORS, dumps, loads_object
+from citronspring.json_text import (
+    DECODE_ERRORS,
+    dumps,
+    integer,
+    loads_object,
+    number,
+    text,
+)
 from citronspring.light_stdlib import INFINITY, TYPE_CHECKING
 from citronspring.tokens.entities import Route, Share, route_key
 from citronspring.tokens.entries import Configuration, Target, ZoneReader
@@ -89,9 +96,9 @@
     """Return the decoded configuration."""
     try:
         return Configuration(
-            revision=int(body["version"]),
+            revision=integer(body["version"]),
             routes=tuple(decode_route(route) for route in body["routes"]),
-            idle_timeout=float(body["limits"]["idle_timeout_ms"]) * MILLISECOND,
+            idle_timeout=number(body["limits"]["idle_timeout_ms"]) * MILLISECOND,
         )
     except DECODE_ERRORS as error:
         raise StoredValueError(f"invalid configuration: {error!r}") from error
@@ -104,24 +111,24 @@
     port = parse_port(body["prefix"].strip("/"))
     if "backends" in body:
         shares = tuple(
-            Share(share["service"], float(share["weight"]))
+            Share(text(share["service"]), number(share["weight"]))
             for share in body["backends"]
         )
     else:
-        shares = (Share(body["service"], 1.0),)
+        shares = (Share(text(body["service"]), 1.0),)
     return Route(
-        name=body["name"],
+        name=text(body["name"]),
         key=route_key(address, port),
         shares=shares,
         idempotent=body["route_type"] in IDEMPOTENT_ROUTE_TYPES,
         objective=decode_objective(body.get("target_latency_ms")),
-        priority=int(body.get("priority", 0)),
+        priority=integer(body.get("priority", 0)),
     )
 
 
 def decode_objective(milliseconds: float | None) -> float:
     """Return a latency objective in seconds; infinite if the route has none."""
-    return float(milliseconds) * MILLISECOND if milliseconds else INFINITY
+    return number(milliseconds) * MILLISECOND if milliseconds else INFINITY
 
 
 def decode_target(target_id: str, body: dict[str, Any], revision: int) -> Target:
@@ -175,7 +182,9 @@
 def decode_reader(zone: str, body: dict[str, Any], revision: int) -> ZoneReader:
     """Return the decoded registration of a zone reader."""
     try:
-        return ZoneReader(zone, str(body["host"]), parse_endpoint(body["at"]), revision)
+        return ZoneReader(
+            zone, text(body["host"]), parse_endpoint(body["at"]), revision
+        )
     except DECODE_ERRORS as error:
         raise StoredValueError(f"invalid zone reader: {error!r}") from error
 
--- a/citronspring/platform/leases.py
+++ b/citronspring/platform/leases.py
@@ -5,7 +5,7 @@
 from binascii import b2a_base64
 
 from citronspring.http_request import HttpRequest
-from citronspring.json_text import DECODE_ERRORS, dumps, loads
+from citronspring.json_text import DECODE_ERRORS, dumps, integer, loads, number
 from citronspring.light_stdlib import TYPE_CHECKING
 from citronspring.platform.entries import READER_PREFIX, encode_reader
 from citronspring.tokens.entries import count_of
@@ -87,6 +87,8 @@
         return Done()
     try:
         found = loads(body)
-        return LeaseGranted(int(found["lease"]), found["ttl_ms"] / MILLISECONDS)
+        return LeaseGranted(
+            integer(found["lease"]), number(found["ttl_ms"]) / MILLISECONDS
+        )
     except DECODE_ERRORS as error:
         return Unanswered(f"the answer cannot be decoded: {error!r}")
--- a/citronspring/platform/store.py
+++ b/citronspring/platform/store.py
@@ -6,7 +6,7 @@
 
 from citronspring.errors import StoredValueError
 from citronspring.http_request import HttpRequest, quote_value
-from citronspring.json_text import DECODE_ERRORS, loads, loads_object
+from citronspring.json_text import DECODE_ERRORS, integer, loads, loads_object
 from citronspring.light_stdlib import TYPE_CHECKING
 from citronspring.platform.entries import (
     DRAIN_PREFIX,
@@ -113,7 +113,7 @@
         if entry is not None:
             entries.append(entry)
     next_key = body["items"][-1]["key"] if body["has_more"] else None
-    revision = ordered_revision(epoch, int(body["store_revision"]))
+    revision = ordered_revision(epoch, integer(body["store_revision"]))
     return Page(tuple(entries), revision, next_key)
 
 
@@ -122,7 +122,7 @@
     changes: list[Change] = []
     revision = None
     for event in body["events"]:
-        revision = ordered_revision(epoch, int(event["revision"]))
+        revision = ordered_revision(epoch, integer(event["revision"]))
         if event.get("deleted"):
             removed = decode_removal(event["key"], revision)
             if removed is not None:
@@ -149,7 +149,7 @@
 
 def decode_item(item: dict[str, Any], epoch: int) -> Entry | None:
     """Return the decoded entry; for an invalid one, its name and the reason."""
-    key, revision = item["key"], ordered_revision(epoch, int(item["revision"]))
+    key, revision = item["key"], ordered_revision(epoch, integer(item["revision"]))
     if key.startswith(DRAIN_PREFIX):
         return decode_drain(key, revision, ended=False)
     if key.startswith(HISTORY_PREFIX):
--- a/citronspring/tokens/change_feed.py
+++ b/citronspring/tokens/change_feed.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from citronspring.json_text import DECODE_ERRORS, dumps
+from citronspring.json_text import DECODE_ERRORS, dumps, integer, number
 from citronspring.light_stdlib import TYPE_CHECKING
 from citronspring.records import record
 from citronspring.tokens.codec import (
@@ -185,10 +185,10 @@
             return Unanswered("the zone reader runs another release")
         return FeedAnswer(
             tuple(decode_change(change) for change in found["changes"]),
-            int(found["revision"]),
-            float(found["age"]),
-            float(found["held"]),
-            int(found["configuration"]),
+            integer(found["revision"]),
+            number(found["age"]),
+            number(found["held"]),
+            integer(found["configuration"]),
         )
     except DECODE_ERRORS as error:
         return Unanswered(f"invalid change feed response: {error!r}")
--- a/citronspring/tokens/codec.py
+++ b/citronspring/tokens/codec.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from citronspring.endpoints import Endpoint
-from citronspring.json_text import loads
+from citronspring.json_text import integer, loads, number, text
 from citronspring.light_stdlib import INFINITY, TYPE_CHECKING
 from citronspring.tokens.entities import Route, Share
 from citronspring.tokens.entries import (
@@ -105,32 +105,32 @@
     """Return a change from its encoded values."""
     if "base" in body:
         return ConfigurationChange(
-            int(body["base"]),
-            int(body["revision"]),
-            float(body["idle_timeout"]),
+            integer(body["base"]),
+            integer(body["revision"]),
+            number(body["idle_timeout"]),
             tuple(decode_route(route) for route in body["routes"]),
-            tuple(int(key) for key in body["removed_routes"]),
+            tuple(integer(key) for key in body["removed_routes"]),
         )
     if "target" in body:
         return decode_target(body["target"])
     if "unreadable" in body:
         found = body["unreadable"]
         return Unreadable(
-            str(found["name"]),
-            str(found["reason"]),
-            int(found["revision"]),
+            text(found["name"]),
+            text(found["reason"]),
+            integer(found["revision"]),
             start_time_of(found),
-            None if found.get("shard") is None else int(found["shard"]),
+            None if found.get("shard") is None else integer(found["shard"]),
         )
     if "reader" in body:
         return decode_zone_reader(body["reader"])
     if "reader_removed" in body:
-        return ReaderRemoved(str(body["reader_removed"]), int(body["revision"]))
+        return ReaderRemoved(text(body["reader_removed"]), integer(body["revision"]))
     if "drain" in body:
         return decode_zone_drain(body["drain"])
     if "history" in body:
         return decode_route_history(body["history"])
-    return TargetRemoved(str(body["removed"]), int(body["revision"]))
+    return TargetRemoved(text(body["removed"]), integer(body["revision"]))
 
 
 def encode_route(route: Route) -> dict[str, Any]:
@@ -156,42 +156,44 @@
 def decode_configuration(body: dict[str, Any]) -> Configuration:
     """Return a configuration from its encoded values."""
     routes = tuple(decode_route(route) for route in body["routes"])
-    return Configuration(int(body["revision"]), routes, float(body["idle_timeout"]))
+    return Configuration(
+        integer(body["revision"]), routes, number(body["idle_timeout"])
+    )
 
 
 def decode_route(body: dict[str, Any]) -> Route:
     """Return a route from its encoded values."""
     return Route(
-        str(body["name"]),
-        int(body["key"]),
-        tuple(Share(str(name), float(weight)) for name, weight in body["shares"]),
+        text(body["name"]),
+        integer(body["key"]),
+        tuple(Share(text(name), number(weight)) for name, weight in body["shares"]),
         bool(body["idempotent"]),
         objective_of(body),
-        int(body.get("priority", 0)),
+        integer(body.get("priority", 0)),
     )
 
 
 def objective_of(body: dict[str, Any]) -> float:
     """Return the objective of an encoded route, infinite if it has none."""
     objective = body.get("objective")
-    return INFINITY if objective is None else float(objective)
+    return INFINITY if objective is None else number(objective)
 
 
 def decode_target(body: dict[str, Any]) -> Target:
     """Return a target from its encoded values."""
     ip, port = body["endpoint"]
     return Target(
-        str(body["target_id"]),
-        int(body["incarnation"]),
-        Endpoint(str(ip), int(port)),
-        str(body["service"]),
-        str(body["zone"]),
-        int(body["slots"]),
+        text(body["target_id"]),
+        integer(body["incarnation"]),
+        Endpoint(text(ip), integer(port)),
+        text(body["service"]),
+        text(body["zone"]),
+        integer(body["slots"]),
         bool(body["leaving"]),
-        float(body["warmup"]),
-        int(body["revision"]),
+        number(body["warmup"]),
+        integer(body["revision"]),
         start_time_of(body),
-        int(body.get("sequence", 0)),
+        integer(body.get("sequence", 0)),
     )
 
 
@@ -199,10 +201,10 @@
     """Return a zone reader from its encoded values."""
     ip, port = body["endpoint"]
     return ZoneReader(
-        str(body["zone"]),
-        str(body["host_id"]),
-        Endpoint(str(ip), int(port)),
-        int(body["revision"]),
+        text(body["zone"]),
+        text(body["host_id"]),
+        Endpoint(text(ip), integer(port)),
+        integer(body["revision"]),
     )
 
 
@@ -214,7 +216,7 @@
 
 def decode_zone_drain(body: dict[str, Any]) -> ZoneDrain:
     """Return a zone drain from its encoded values."""
-    return ZoneDrain(str(body["zone"]), int(body["revision"]), bool(body["ended"]))
+    return ZoneDrain(text(body["zone"]), integer(body["revision"]), bool(body["ended"]))
 
 
 def encode_route_history(history: RouteHistory) -> dict[str, Any]:
@@ -226,9 +228,9 @@
 def decode_route_history(body: dict[str, Any]) -> RouteHistory:
     """Return a route history from its encoded values."""
     return RouteHistory(
-        int(body["shard"]),
+        integer(body["shard"]),
         decode_services(body["routes"]),
-        int(body["revision"]),
+        integer(body["revision"]),
         bool(body["removed"]),
     )
 
@@ -254,4 +256,4 @@
 def start_time_of(body: dict[str, Any]) -> int | None:
     """Return the start time of an encoded target, None if it is not given."""
     started = body.get("started")
-    return None if started is None else int(started)
+    return None if started is None else integer(started)
--- a/citronspring/tokens/peer_snapshot.py
+++ b/citronspring/tokens/peer_snapshot.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from citronspring.json_text import DECODE_ERRORS, dumps
+from citronspring.json_text import DECODE_ERRORS, dumps, integer, number
 from citronspring.light_stdlib import TYPE_CHECKING
 from citronspring.tokens.codec import (
     FORMAT_VERSION,
@@ -86,8 +86,8 @@
         return PeerSnapshot(
             decode_configuration(found["configuration"]),
             (*targets, *drains, *histories),
-            int(found["revision"]),
-            float(found["age"]),
+            integer(found["revision"]),
+            number(found["age"]),
             complete=found.get("format") == FORMAT_VERSION,
         )
     except DECODE_ERRORS as error:
--- a/citronspring/tokens/suspicions.py
+++ b/citronspring/tokens/suspicions.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from citronspring.json_text import DECODE_ERRORS, dumps, loads
+from citronspring.json_text import DECODE_ERRORS, dumps, integer, loads, number
 from citronspring.light_stdlib import TYPE_CHECKING
 from citronspring.records import record
 
@@ -93,10 +93,10 @@
         if "report" in body:
             return Report(decode_suspicions(body["report"]))
         if "inquiry" in body:
-            return Inquiry(int(body["inquiry"]), decode_suspicions(body["of"]))
+            return Inquiry(integer(body["inquiry"]), decode_suspicions(body["of"]))
         if "reply" in body:
-            answered = tuple(int(number) for number in body["answered"])
-            return Reply(int(body["reply"]), answered)
+            answered = tuple(integer(one) for one in body["answered"])
+            return Reply(integer(body["reply"]), answered)
         return Verdict(decode_suspicions(body["verdict"]))
     except DECODE_ERRORS:
         # The caller counts it. Its sender runs another release or is not a host of this
@@ -110,5 +110,5 @@
     for incarnation, age in rows[:MAX_SUSPICIONS]:
         if not 0.0 <= age <= MAX_AGE:
             raise ValueError(f"invalid age of a suspicion: {age!r}")
-        found.append(Suspicion(int(incarnation), float(age)))
+        found.append(Suspicion(integer(incarnation), number(age)))
     return tuple(found)
