Check the ranges of targets also in answers of other hosts

Callers saw: nothing yet. An entry of the store with 10^20 slots is taken as a target whose load is always the lowest, and a start in the far future hides all later ones.

Cause: only the decoder of the store's entries checked ranges, and not all of them; the other decoder takes what hosts answer as it comes.

Evidence: the same probe with numbers in range of a float: ZeroDivisionError in `target_load` and `shed_fraction`, struct.error in `encode_for_target`, OverflowError and OSError for addresses.

Change: `check_target` holds the ranges next to `Target`, both decoders call it, and both parse addresses the same way. An objective that is not positive counts as none, as 0 did.

--- a/citronspring/addresses.py
+++ b/citronspring/addresses.py
@@ -3,25 +3,31 @@
 from __future__ import annotations
 
 from citronspring.endpoints import Endpoint
-from citronspring.light_sockets import AF_INET, inet_pton
+
+#: Octets of an IPv4 address by their notation.
+OCTETS = {str(octet): octet for octet in range(256)}
 
 #: Largest port number.
 MAX_PORT = 65535
 
 
 def parse_ipv4(text: str) -> int:
-    """Return an IPv4 address as an integer; raises ValueError if it is invalid."""
+    """Return an IPv4 address as an integer; raises ValueError if it is invalid.
+
+    The decision core decodes addresses too, and imports no sockets.
+    """
     try:
-        return int.from_bytes(inet_pton(AF_INET, text), "big")
-    except OSError as error:
-        raise ValueError(f"{text!r} is not an IPv4 address") from error
+        first, second, third, fourth = [OCTETS[part] for part in text.split(".")]
+    except (KeyError, ValueError) as error:
+        raise ValueError(f"{text!r:.40} is not an IPv4 address") from error
+    return first << 24 | second << 16 | third << 8 | fourth
 
 
 def parse_port(text: str) -> int:
     """Return a port number; raises ValueError if it is invalid."""
     port = int(text)
     if not 0 < port <= MAX_PORT:
-        raise ValueError(f"{text!r} is not a port number")
+        raise ValueError(f"{text!r:.40} is not a port number")
     return port
 
 
--- a/citronspring/light_sockets.py
+++ b/citronspring/light_sockets.py
@@ -24,7 +24,6 @@
     "Socket",
     "bind_datagrams",
     "inet_ntoa",
-    "inet_pton",
     "set_signal_handler",
     "set_wakeup_fd",
     "socketpair",
@@ -44,7 +43,6 @@
         SOL_SOCKET,
         TCP_NODELAY,
         inet_ntoa,
-        inet_pton,
         socketpair,
     )
     from socket import socket as Socket  # noqa: N812
@@ -64,7 +62,6 @@
         SOL_SOCKET,
         TCP_NODELAY,
         inet_ntoa,
-        inet_pton,
         socketpair,
     )
     from _socket import socket as BaseSocket  # noqa: N812
--- a/citronspring/platform/entries.py
+++ b/citronspring/platform/entries.py
@@ -13,8 +13,14 @@
     text,
 )
 from citronspring.light_stdlib import INFINITY, TYPE_CHECKING
-from citronspring.tokens.entities import Route, Share, route_key
-from citronspring.tokens.entries import Configuration, Target, ZoneReader
+from citronspring.tokens.entities import Route, Share, route_key, valid_objective
+from citronspring.tokens.entries import (
+    Configuration,
+    Target,
+    ZoneReader,
+    check_target,
+    is_start_time,
+)
 
 if TYPE_CHECKING:
     from typing import Any
@@ -60,9 +66,6 @@
 #: Field with the start time of the target's process; older targets do not write it.
 START_FIELD = "born"
 
-#: Longest remaining warm-up in seconds that a target may register: one day.
-MAX_WARMUP = 86_400.0
-
 #: Hexadecimal digits, for the number in a target's id.
 HEX_DIGITS = frozenset("0123456789abcdef")
 
@@ -128,25 +131,29 @@
 
 def decode_objective(milliseconds: float | None) -> float:
     """Return a latency objective in seconds; infinite if the route has none."""
-    return number(milliseconds) * MILLISECOND if milliseconds else INFINITY
+    if milliseconds is None:
+        return INFINITY
+    return valid_objective(number(milliseconds) * MILLISECOND)
 
 
 def decode_target(target_id: str, body: dict[str, Any], revision: int) -> Target:
     """Return the decoded registration of a target."""
     try:
         check_target_fields(body)
-        return Target(
-            target_id=target_id,
-            incarnation=parse_incarnation(target_id),
-            endpoint=parse_endpoint(body["addr"]),
-            service=body["service"],
-            zone=body["zone"],
-            slots=max(1, body["concurrency"]),
-            leaving=LEAVING_BY_STATE[body["state"]],
-            warmup=decode_warmup(body["warmup_left_ms"]),
-            revision=revision,
-            started=decode_start(body),
-            sequence=body["seq"],
+        return check_target(
+            Target(
+                target_id=target_id,
+                incarnation=parse_incarnation(target_id),
+                endpoint=parse_endpoint(body["addr"]),
+                service=body["service"],
+                zone=body["zone"],
+                slots=max(1, body["concurrency"]),
+                leaving=LEAVING_BY_STATE[body["state"]],
+                warmup=body["warmup_left_ms"] * MILLISECOND,
+                revision=revision,
+                started=decode_start(body),
+                sequence=body["seq"],
+            )
         )
     except DECODE_ERRORS as error:
         raise StoredValueError(f"invalid target: {error!r}") from error
@@ -169,14 +176,7 @@
 def decode_start(body: dict[str, Any]) -> int | None:
     """Return the start time of a target's process, None if the entry has none."""
     started = body.get(START_FIELD)
-    return started if has_type(started, (int,)) else None
-
-
-def decode_warmup(milliseconds: float) -> float:
-    """Return the remaining warm-up of a target in seconds."""
-    if not 0 <= milliseconds <= MAX_WARMUP / MILLISECOND:
-        raise ValueError(f"warm-up out of range: {milliseconds!r:.40} ms")
-    return milliseconds * MILLISECOND
+    return started if type(started) is int and is_start_time(started) else None
 
 
 def decode_reader(zone: str, body: dict[str, Any], revision: int) -> ZoneReader:
@@ -199,7 +199,4 @@
     _, _, digits = target_id.rpartition("-")
     if not digits or not HEX_DIGITS.issuperset(digits):
         raise ValueError(f"the id {target_id!r} does not end in a hexadecimal number")
-    number = int(digits, 16)
-    if not 0 < number < 1 << 64:
-        raise ValueError(f"the number in {target_id!r} is 0 or exceeds 8 bytes")
-    return number
+    return int(digits, 16)
--- a/citronspring/tokens/codec.py
+++ b/citronspring/tokens/codec.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from citronspring.endpoints import Endpoint
+from citronspring.addresses import parse_endpoint
 from citronspring.json_text import integer, loads, number, text
 from citronspring.light_stdlib import INFINITY, TYPE_CHECKING
-from citronspring.tokens.entities import Route, Share
+from citronspring.tokens.entities import Route, Share, valid_objective
 from citronspring.tokens.entries import (
     Configuration,
     ConfigurationChange,
@@ -16,11 +16,13 @@
     Unreadable,
     ZoneDrain,
     ZoneReader,
+    check_target,
 )
 
 if TYPE_CHECKING:
     from typing import Any
 
+    from citronspring.endpoints import Endpoint
     from citronspring.tokens.entries import FeedChange
 
 
@@ -176,34 +178,40 @@
 def objective_of(body: dict[str, Any]) -> float:
     """Return the objective of an encoded route, infinite if it has none."""
     objective = body.get("objective")
-    return INFINITY if objective is None else number(objective)
+    return INFINITY if objective is None else valid_objective(number(objective))
 
 
 def decode_target(body: dict[str, Any]) -> Target:
     """Return a target from its encoded values."""
-    ip, port = body["endpoint"]
-    return Target(
-        text(body["target_id"]),
-        integer(body["incarnation"]),
-        Endpoint(text(ip), integer(port)),
-        text(body["service"]),
-        text(body["zone"]),
-        integer(body["slots"]),
-        bool(body["leaving"]),
-        number(body["warmup"]),
-        integer(body["revision"]),
-        start_time_of(body),
-        integer(body.get("sequence", 0)),
+    return check_target(
+        Target(
+            text(body["target_id"]),
+            integer(body["incarnation"]),
+            decode_endpoint(body["endpoint"]),
+            text(body["service"]),
+            text(body["zone"]),
+            integer(body["slots"]),
+            bool(body["leaving"]),
+            number(body["warmup"]),
+            integer(body["revision"]),
+            start_time_of(body),
+            integer(body.get("sequence", 0)),
+        )
     )
 
 
+def decode_endpoint(body: list[Any]) -> Endpoint:
+    """Return an IPv4 address and port; raises ValueError if they are invalid."""
+    ip, port = body
+    return parse_endpoint(f"{text(ip)}:{integer(port)}")
+
+
 def decode_zone_reader(body: dict[str, Any]) -> ZoneReader:
     """Return a zone reader from its encoded values."""
-    ip, port = body["endpoint"]
     return ZoneReader(
         text(body["zone"]),
         text(body["host_id"]),
-        Endpoint(text(ip), integer(port)),
+        decode_endpoint(body["endpoint"]),
         integer(body["revision"]),
     )
 
--- a/citronspring/tokens/entities.py
+++ b/citronspring/tokens/entities.py
@@ -63,6 +63,14 @@
     priority: int = 0
 
 
+def valid_objective(seconds: float) -> float:
+    """Return a latency objective, infinite if it is not positive.
+
+    Delays are divided by it.
+    """
+    return seconds if seconds > 0.0 else INFINITY
+
+
 @record
 class Packet:
     """A packet from a caller; only the transport code reads ``data``."""
--- a/citronspring/tokens/entries.py
+++ b/citronspring/tokens/entries.py
@@ -29,6 +29,22 @@
 #: Revisions that fit into an epoch: a million per second for thirty years.
 REVISIONS_PER_EPOCH = 10**15
 
+#: Bound of the epoch; hosts exchange revisions of at most 24 digits.
+MAX_EPOCH = 10**9
+
+#: Bits of the number that names an incarnation in packets.
+INCARNATION_BITS = 64
+
+#: Most slots of a target, far above the flows that one holds. A target with more would
+#: seem to have no load and attract all flows of its service.
+MAX_SLOTS = 1_000_000
+
+#: Longest remaining warm-up of a target in seconds: one day.
+MAX_WARMUP = 86_400.0
+
+#: Latest start time of a target in milliseconds of Unix time: the end of the year 9999.
+MAX_START_TIME = 253_402_300_799_999
+
 
 def ordered_revision(epoch: int, count: int) -> int:
     """Return the combined revision for a store's ``count`` in an epoch.
@@ -36,9 +52,9 @@
     Raises
     ------
     ValueError
-        If either is negative, or the count is too large for an epoch.
+        If either is negative or too large.
     """
-    if epoch < 0 or not 0 <= count < REVISIONS_PER_EPOCH:
+    if not 0 <= epoch < MAX_EPOCH or not 0 <= count < REVISIONS_PER_EPOCH:
         raise ValueError(f"invalid revision: count {count} in epoch {epoch}")
     return epoch * REVISIONS_PER_EPOCH + count
 
@@ -113,6 +129,33 @@
     sequence: int = 0
 
 
+def check_target(target: Target) -> Target:
+    """Return a target if its fields are in range.
+
+    Some of them are divided by, and others are carried by packets; the process would
+    end there.
+
+    Raises
+    ------
+    ValueError
+        Names the field that is out of range.
+    """
+    if not 0 < target.incarnation < 1 << INCARNATION_BITS:
+        raise ValueError(f"incarnation {target.incarnation} is 0 or exceeds 8 bytes")
+    if not 0 < target.slots <= MAX_SLOTS:
+        raise ValueError(f"slots out of range: {target.slots}")
+    if not 0.0 <= target.warmup <= MAX_WARMUP:
+        raise ValueError(f"warm-up out of range: {target.warmup} s")
+    if target.started is not None and not is_start_time(target.started):
+        raise ValueError(f"start time out of range: {target.started}")
+    return target
+
+
+def is_start_time(milliseconds: int) -> bool:
+    """Whether a number can be the start time of a target."""
+    return 0 <= milliseconds <= MAX_START_TIME
+
+
 @record
 class TargetRemoved:
     """The entry of a target was removed from the store."""
--- a/tests/test_platform/foreign.py
+++ b/tests/test_platform/foreign.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+import socket
+import struct
 from base64 import b64encode
 
 from citronspring.daemons.line_log import MAX_BUFFERED_BYTES, LineLog
@@ -17,8 +19,22 @@
     WatchEntries,
 )
 from citronspring.tokens.peer_snapshot import decode_snapshot
+from tests.test_platform.test_store import CONFIGURATION, ROUTE, TARGET
 from tests.test_tokens.driver import Driver, make_target
 
+#: A target, a configuration and other entries that a host takes.
+BORN = 1_764_720_000_000
+NEW_TARGET = {**TARGET, "service": "previews", "born": BORN, "seq": 1}
+SPLIT_ROUTE = {
+    **ROUTE,
+    "backends": [{"service": "previews", "weight": 1}],
+    "target_latency_ms": 100,
+    "priority": 1,
+}
+NEW_CONFIGURATION = {**CONFIGURATION, "version": 9, "routes": [SPLIT_ROUTE]}
+READER = {"host": "host-2", "at": "10.0.0.5:7702"}
+HISTORY = {"routes": {"5": ["archive"]}}
+
 #: Revision up to which hosts of these tests have read the store.
 READ_REVISION = 1
 
@@ -66,17 +82,25 @@
 
 
 def use(host):
-    """Use what a host knows: packets, timers, metrics and state dump."""
+    """Use what a host knows: packets, addresses, timers, metrics and state dump."""
     for port in range(4):
         action = host.caller(port).open()
         if isinstance(action, Forward):
             target = action.target.target
             encode_for_target(action.packet, target.incarnation, action.target.token)
+            pack_address(target.endpoint)
+    for reader in host.tables.zone_readers.values():
+        pack_address(reader.endpoint)
     host.wait(2.0)
     host.core.metrics(host.now).encode()
     json.dumps(host.core.dump(host.now), default=str).encode()
 
 
+def pack_address(endpoint):
+    """Convert an address as a socket does, which raises if it is invalid."""
+    return socket.inet_aton(endpoint.ip) + struct.pack(">H", endpoint.port)
+
+
 def write_logs(host, path):
     """Return the lines that a host's process writes for what it has logged."""
     with path.open("wb") as file:
@@ -121,3 +145,21 @@
     for name in path:
         value = value[name]
     return value
+
+
+def answers_of_a_host():
+    """Return the answers of a host to a starting host and to a follower."""
+    host = make_host()
+    deliver(
+        host,
+        ("servers/i-c0ffee", json.dumps(NEW_TARGET)),
+        ("servers/i-bad", "{}"),
+        ("op/config", json.dumps(NEW_CONFIGURATION)),
+        ("op/evacuate/south", ""),
+        ("readers/south", json.dumps(READER)),
+        ("route-history/0", json.dumps(HISTORY)),
+    )
+    return [
+        (decode_snapshot, json.loads(host.core.snapshot(host.now)[1])),
+        (decode_feed, json.loads(feed_of(host)[1])),
+    ]
--- a/tests/test_platform/test_foreign_numbers.py
+++ b/tests/test_platform/test_foreign_numbers.py
@@ -14,16 +14,18 @@
 from citronspring.tokens.peer_snapshot import decode_snapshot
 from citronspring.tokens.suspicions import decode_message
 from tests.test_platform.foreign import (
+    NEW_CONFIGURATION,
+    NEW_TARGET,
+    answers_of_a_host,
     deliver,
     entry_text,
-    feed_of,
     leaf_paths,
     make_host,
     pass_on,
     use,
     value_at,
 )
-from tests.test_platform.test_store import CONFIGURATION, LIST, ROUTE, TARGET, WATCH
+from tests.test_platform.test_store import LIST, WATCH
 
 #: Numbers that `json` reads and with which arithmetic fails, and one that the
 #: interpreter refuses to convert.
@@ -37,16 +39,6 @@
     "Infinity",
 ]
 
-BORN = 1_764_720_000_000
-NEW_TARGET = {**TARGET, "service": "previews", "born": BORN, "seq": 1}
-SPLIT_ROUTE = {
-    **ROUTE,
-    "backends": [{"service": "previews", "weight": 1}],
-    "target_latency_ms": 100,
-    "priority": 1,
-}
-NEW_CONFIGURATION = {**CONFIGURATION, "version": 9, "routes": [SPLIT_ROUTE]}
-
 NUMBER_FIELDS = [
     *[("servers/i-c0ffee", NEW_TARGET, (name,)) for name in ("concurrency", "seq")],
     *[("servers/i-1", NEW_TARGET, (name,)) for name in ("born", "warmup_left_ms")],
@@ -88,24 +80,6 @@
     use(host)
 
 
-def answers_of_a_host():
-    """Return the answers of a host to a starting host and to a follower."""
-    host = make_host()
-    deliver(
-        host,
-        ("servers/i-c0ffee", json.dumps(NEW_TARGET)),
-        ("servers/i-bad", "{}"),
-        ("op/config", json.dumps(NEW_CONFIGURATION)),
-        ("op/evacuate/south", ""),
-        ("readers/south", '{"host": "host-2", "at": "10.0.0.5:7702"}'),
-        ("route-history/0", '{"routes": {"5": ["a"]}}'),
-    )
-    return [
-        (decode_snapshot, json.loads(host.core.snapshot(host.now)[1])),
-        (decode_feed, json.loads(feed_of(host)[1])),
-    ]
-
-
 @pytest.mark.parametrize("number", NUMBERS, ids=lambda number: number[:8])
 def test_number_out_of_range_in_an_answer_of_a_host_is_not_used(number):
     """A corrupted answer of another host ends the host that asked."""
--- a/tests/test_platform/test_foreign_values.py
+++ b/tests/test_platform/test_foreign_values.py
@@ -2,9 +2,16 @@
 
 from __future__ import annotations
 
+import json
+
 import pytest
 
 from tests.test_platform.foreign import (
+    HISTORY,
+    NEW_CONFIGURATION,
+    NEW_TARGET,
+    READER,
+    answers_of_a_host,
     deliver,
     entry_text,
     leaf_paths,
@@ -12,10 +19,6 @@
     pass_on,
     use,
 )
-from tests.test_platform.test_foreign_numbers import NEW_CONFIGURATION, NEW_TARGET
-
-READER = {"host": "host-2", "at": "10.0.0.5:7702"}
-HISTORY = {"routes": {"5": ["archive"]}}
 
 ENTRIES = [
     ("servers/i-c0ffee", NEW_TARGET),
@@ -32,6 +35,10 @@
 OTHER_TYPES = ["null", "true", "[]", "{}", '""', '"x"', '"nan"', f'"{"9" * 400}"']
 
 
+#: Values of a field's type that a host cannot calculate with, or put into a packet.
+OUT_OF_RANGE = ["0", "-1", "65536", str(2**64), "1e29", '""', '"10.0.0"', "[1, 2]"]
+
+
 def check_known_state(host):
     """Check that a host still serves with what it knew before."""
     rows = host.tables.by_service["previews"]
@@ -59,3 +66,41 @@
         deliver(host, ("op/config", entry_text(NEW_CONFIGURATION, path, value)))
         assert host.tables.configuration == 1
         assert [log.number for log in host.logs].count(614) == 1
+
+
+@pytest.mark.parametrize("value", OUT_OF_RANGE, ids=lambda value: value[:8])
+def test_field_of_an_answer_out_of_range_ends_no_host(value):
+    """A corrupted answer of another host ends the host that asked it."""
+    for decode, answer in answers_of_a_host():
+        for path in leaf_paths(answer):
+            host = make_host()
+            host.answer(decode(200, entry_text(answer, path, value).encode()))
+            use(host)
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [("concurrency", 10**20), ("born", 10**20), ("born", -1), ("warmup_left_ms", 1e12)],
+)
+def test_implausible_field_names_no_target(field, value):
+    """A target with endless slots attracts all flows of its service.
+
+    A start in the far future hides all later starts of the target.
+    """
+    host = make_host()
+    entry = json.dumps({**NEW_TARGET, field: value})
+    deliver(host, ("servers/i-c0ffee", entry), ("servers/i-1", entry))
+    use(host)
+    assert set(host.tables.targets) == {"i-1", "i-2"}
+    assert host.tables.targets["i-1"].gone_at == float("inf")
+
+
+def test_objective_that_is_not_positive_is_none():
+    """Delays are divided by it, also by one that is too small to differ from 0."""
+    for text in ("0", "-5", "1e-322"):
+        host = make_host()
+        path = ("routes", 0, "target_latency_ms")
+        deliver(host, ("op/config", entry_text(NEW_CONFIGURATION, path, text)))
+        use(host)
+        (route,) = host.tables.routes.values()
+        assert route.objective == float("inf")
