Refuse texts and keys that have no UTF-8 encoding

Callers saw: nothing yet. An entry under a key with half of a surrogate pair ends every host: by the hash that orders targets, in the metrics of drained zones, or when the page after it is asked for.

Cause: JSON can escape a half pair, Python reads it, and any encoding of the text raises UnicodeEncodeError, which nothing expects where it occurs.

Evidence: the same probe with such texts in all fields and keys; the error in `tie_break_rank`, `quote_value` and the encoding of the metrics.

Change: `json_text.text` refuses it, so that the entry is unreadable; a key like that names nothing. The next page is asked for by the surrogate's bytes, since a list that can't go on would keep a host from serving.

--- a/citronspring/http_request.py
+++ b/citronspring/http_request.py
@@ -40,9 +40,12 @@
 
 
 def quote_value(text: str) -> str:
-    """Return text quoted as a value of a query string."""
+    """Return text quoted as a value of a query string.
+
+    A key of the store may have no UTF-8 encoding; its page is read as well.
+    """
     # Only the second page of a list needs this; imported at start, it would delay the
     # first.
     from urllib.parse import quote
 
-    return quote(text, safe="")
+    return quote(text, safe="", errors="surrogatepass")
--- a/citronspring/json_text.py
+++ b/citronspring/json_text.py
@@ -16,6 +16,7 @@
     "NumberOutOfRange",
     "compact_encoder",
     "dumps",
+    "has_encoding",
     "integer",
     "loads",
     "loads_object",
@@ -195,7 +196,26 @@
 
 
 def text(value: object) -> str:
-    """Return a field that holds a text; raises TypeError for anything else."""
-    if type(value) is str:
-        return value
-    raise TypeError(f"not a text: {value!r:.40}")
+    """Return a field that holds a text.
+
+    Raises
+    ------
+    TypeError
+        If it holds something else.
+    ValueError
+        If it has no UTF-8 encoding. JSON can escape one half of a surrogate pair, with
+        which metrics and hashes fail.
+    """
+    if type(value) is not str:
+        raise TypeError(f"not a text: {value!r:.40}")
+    if not has_encoding(value):
+        raise ValueError(f"text without a UTF-8 encoding: {value!r:.40}")
+    return value
+
+
+def has_encoding(value: str) -> bool:
+    """Whether a text has a UTF-8 encoding."""
+    try:
+        return value.isascii() or bool(value.encode())
+    except UnicodeEncodeError:
+        return False
--- a/citronspring/platform/entries.py
+++ b/citronspring/platform/entries.py
@@ -12,7 +12,7 @@
     number,
     text,
 )
-from citronspring.light_stdlib import INFINITY, TYPE_CHECKING
+from citronspring.light_stdlib import TYPE_CHECKING
 from citronspring.tokens.entities import Route, Share, route_key, valid_objective
 from citronspring.tokens.entries import (
     Configuration,
@@ -124,18 +124,13 @@
         key=route_key(address, port),
         shares=shares,
         idempotent=body["route_type"] in IDEMPOTENT_ROUTE_TYPES,
-        objective=decode_objective(body.get("target_latency_ms")),
+        objective=valid_objective(
+            number(body.get("target_latency_ms") or 0) * MILLISECOND
+        ),
         priority=integer(body.get("priority", 0)),
     )
 
 
-def decode_objective(milliseconds: float | None) -> float:
-    """Return a latency objective in seconds; infinite if the route has none."""
-    if milliseconds is None:
-        return INFINITY
-    return valid_objective(number(milliseconds) * MILLISECOND)
-
-
 def decode_target(target_id: str, body: dict[str, Any], revision: int) -> Target:
     """Return the decoded registration of a target."""
     try:
@@ -145,8 +140,8 @@
                 target_id=target_id,
                 incarnation=parse_incarnation(target_id),
                 endpoint=parse_endpoint(body["addr"]),
-                service=body["service"],
-                zone=body["zone"],
+                service=text(body["service"]),
+                zone=text(body["zone"]),
                 slots=max(1, body["concurrency"]),
                 leaving=LEAVING_BY_STATE[body["state"]],
                 warmup=body["warmup_left_ms"] * MILLISECOND,
--- a/citronspring/platform/store.py
+++ b/citronspring/platform/store.py
@@ -6,7 +6,13 @@
 
 from citronspring.errors import StoredValueError
 from citronspring.http_request import HttpRequest, quote_value
-from citronspring.json_text import DECODE_ERRORS, integer, loads, loads_object
+from citronspring.json_text import (
+    DECODE_ERRORS,
+    has_encoding,
+    integer,
+    loads,
+    loads_object,
+)
 from citronspring.light_stdlib import TYPE_CHECKING
 from citronspring.platform.entries import (
     DRAIN_PREFIX,
@@ -136,6 +142,8 @@
 
 def decode_removal(key: str, revision: int) -> Change | None:
     """Return the removal of an entry; None for a key that a host does not use."""
+    if not has_encoding(key):
+        return None
     if key.startswith(DRAIN_PREFIX):
         return decode_drain(key, revision, ended=True)
     if key.startswith(TARGET_PREFIX):
@@ -150,6 +158,9 @@
 def decode_item(item: dict[str, Any], epoch: int) -> Entry | None:
     """Return the decoded entry; for an invalid one, its name and the reason."""
     key, revision = item["key"], ordered_revision(epoch, integer(item["revision"]))
+    if not has_encoding(key):
+        name = key.encode(errors="backslashreplace").decode()
+        return Unreadable(name, "the key has no UTF-8 encoding", revision)
     if key.startswith(DRAIN_PREFIX):
         return decode_drain(key, revision, ended=False)
     if key.startswith(HISTORY_PREFIX):
--- a/citronspring/tokens/codec.py
+++ b/citronspring/tokens/codec.py
@@ -253,11 +253,9 @@
     """
     routes = {}
     for key, services in body.items():
-        if not isinstance(services, list) or not all(
-            isinstance(service, str) for service in services
-        ):
-            raise ValueError(f"invalid services of route {key}: {services!r:.40}")
-        routes[int(key)] = tuple(services)
+        if not isinstance(services, list):
+            raise ValueError(f"invalid services of route {key:.40}: {services!r:.40}")
+        routes[int(key)] = tuple(text(service) for service in services)
     return routes
 
 
--- a/tests/test_platform/test_foreign_values.py
+++ b/tests/test_platform/test_foreign_values.py
@@ -6,6 +6,9 @@
 
 import pytest
 
+from citronspring.endpoints import Endpoint
+from citronspring.platform.store import decode_answer, encode_call
+from citronspring.tokens.messages import ListEntries
 from tests.test_platform.foreign import (
     HISTORY,
     NEW_CONFIGURATION,
@@ -39,6 +42,12 @@
 OUT_OF_RANGE = ["0", "-1", "65536", str(2**64), "1e29", '""', '"10.0.0"', "[1, 2]"]
 
 
+#: The first half of a surrogate pair.
+HALF_PAIR = r'"\ud800"'
+
+TARGET_TEXT = json.dumps(NEW_TARGET)
+
+
 def check_known_state(host):
     """Check that a host still serves with what it knew before."""
     rows = host.tables.by_service["previews"]
@@ -58,6 +67,35 @@
     check_known_state(host)
 
 
+@pytest.mark.parametrize(("key", "entry", "path"), FIELDS)
+def test_text_without_an_encoding_ends_no_host(key, entry, path):
+    """Half of a surrogate pair, which JSON can escape, fails in metrics and hashes."""
+    host = make_host()
+    deliver(host, (key, entry_text(entry, path, HALF_PAIR)))
+    use(host)
+    pass_on(host)
+    check_known_state(host)
+
+
+@pytest.mark.parametrize("prefix", ["servers/", "readers/", "op/evacuate/", "x/"])
+@pytest.mark.parametrize("suffix", ["", "-aa"])
+def test_key_without_an_encoding_names_nothing(prefix, suffix):
+    """One key that no text encoding has must not hide the entries beside it."""
+    key = f"{prefix}\ud800{suffix}"
+    host = make_host()
+    deliver(host, (key, json.dumps(NEW_TARGET)), ("servers/i-c0ffee", TARGET_TEXT))
+    use(host)
+    pass_on(host)
+    assert set(host.tables.targets) == {"i-1", "i-2", "i-c0ffee"}
+    assert not host.tables.zone_drains
+    removal = {"key": key, "deleted": True, "revision": 9}
+    body = json.dumps({"events": [removal], "store_revision": 9}).encode()
+    host.answer(decode_answer(host.call, 200, body))
+    use(host)
+    request = encode_call(ListEntries(key))
+    assert request.encode(Endpoint("10.0.0.1", 80))
+
+
 @pytest.mark.parametrize("value", ['"9"', f'"{"9" * 400}"', '"nan"', "true"])
 def test_text_is_no_number_of_a_configuration(value):
     """A number in quotes has no bound, and the metrics of a host fail with it."""
@@ -68,7 +106,9 @@
         assert [log.number for log in host.logs].count(614) == 1
 
 
-@pytest.mark.parametrize("value", OUT_OF_RANGE, ids=lambda value: value[:8])
+@pytest.mark.parametrize(
+    "value", [*OUT_OF_RANGE, HALF_PAIR], ids=lambda value: value[:8]
+)
 def test_field_of_an_answer_out_of_range_ends_no_host(value):
     """A corrupted answer of another host ends the host that asked it."""
     for decode, answer in answers_of_a_host():
