Log long texts in short, and pass on only the beginning of a reason

Operators saw: nothing, which is the fault. An entry with a `state` of 700,000 characters is refused, and the line that names it is longer than the log's buffer and lost. If the entry shows a restart of its target, the reason goes to all followers of a zone in full.

Cause: errors quote values, which may have 1 MB, and nothing between the error and the log or the change feed bounded them.

Change: the log writes the first 300 characters of a text and its length; hosts pass on 200 characters of a reason.

--- a/citronspring/daemons/line_log.py
+++ b/citronspring/daemons/line_log.py
@@ -18,6 +18,10 @@
 #: Limit on bytes buffered for a slow reader of the output; further lines are omitted.
 MAX_BUFFERED_BYTES = 65536
 
+#: Most characters of a text in a line. Entries of other programs may hold a megabyte,
+#: and a line longer than the buffer is lost.
+MAX_TEXT_CHARACTERS = 300
+
 #: Length in seconds of the window in which lines are counted.
 WINDOW = 1.0
 
@@ -79,7 +83,7 @@
             "number": number,
             "event": event.name,
             "level": event.level.value,
-            **fields,
+            **{name: shorten(value) for name, value in fields.items()},
         }
         encoded = self.encode_json(line).encode() + b"\n"
         if len(self.buffer) + len(encoded) > MAX_BUFFERED_BYTES:
@@ -104,3 +108,10 @@
             self.buffer.clear()
             return
         del self.buffer[:written]
+
+
+def shorten(value: object) -> object:
+    """Return a value of a line; of a long text the beginning and the length."""
+    if type(value) is not str or len(value) <= MAX_TEXT_CHARACTERS:
+        return value
+    return f"{value[:MAX_TEXT_CHARACTERS]}... ({len(value)} characters)"
--- a/citronspring/tokens/codec.py
+++ b/citronspring/tokens/codec.py
@@ -39,6 +39,9 @@
 #: Compression level; the fastest. Level 6 saves another fifth but takes twice the time.
 COMPRESSION_LEVEL = 1
 
+#: Most characters of a reason that hosts pass on; an error may quote a long value.
+MAX_REASON_CHARACTERS = 200
+
 #: Largest decompressed body in bytes, 20 times the largest configuration of the
 #: platform. It keeps a corrupted body from exhausting a host's memory.
 MAX_DECOMPRESSED_BYTES = 20_000_000
@@ -89,7 +92,9 @@
             return {"target": encode_target(change, max(change.warmup - age, 0.0))}
         case Unreadable():
             names: tuple[str, ...] = Unreadable.__match_args__
-            return {"unreadable": {name: getattr(change, name) for name in names}}
+            entry = {name: getattr(change, name) for name in names}
+            entry["reason"] = change.reason[:MAX_REASON_CHARACTERS]
+            return {"unreadable": entry}
         case TargetRemoved():
             return {"removed": change.target_id, "revision": change.revision}
         case ZoneReader():
--- a/tests/test_platform/test_foreign_values.py
+++ b/tests/test_platform/test_foreign_values.py
@@ -17,10 +17,12 @@
     answers_of_a_host,
     deliver,
     entry_text,
+    feed_of,
     leaf_paths,
     make_host,
     pass_on,
     use,
+    write_logs,
 )
 
 ENTRIES = [
@@ -96,6 +98,27 @@
     assert request.encode(Endpoint("10.0.0.1", 80))
 
 
+@pytest.mark.parametrize("length", [5_000, 700_000])
+@pytest.mark.parametrize("field", ["addr", "state", "service", "zone"])
+def test_long_field_is_logged_in_short(field, length, tmp_path):
+    """A line longer than the log's buffer is lost, and nothing says what is wrong."""
+    host = make_host()
+    entry = {**NEW_TARGET, field: "x" * length}
+    deliver(host, ("servers/i-c0ffee", json.dumps(entry)))
+    last = write_logs(host, tmp_path / "log")[-1]
+    assert "i-c0ffee" in (last.get("entry"), last.get("target"))
+    assert len(json.dumps(last)) < 2_000
+
+
+def test_long_reason_does_not_fill_the_links_of_followers():
+    """A restarted target's entry with a long state is passed on to a whole zone."""
+    host = make_host()
+    entry = {**NEW_TARGET, "born": 1_764_730_000_000, "state": "x" * 700_000}
+    deliver(host, ("servers/i-1", json.dumps(entry)))
+    assert host.tables.targets["i-1"].gone_at < float("inf")
+    assert len(feed_of(host)[1]) < 1_000
+
+
 @pytest.mark.parametrize("value", ['"9"', f'"{"9" * 400}"', '"nan"', "true"])
 def test_text_is_no_number_of_a_configuration(value):
     """A number in quotes has no bound, and the metrics of a host fail with it."""
