Refuse settings that are no UTF-8 text, also at a reload

Callers saw: nothing yet. A settings file with a byte that is not UTF-8 ends each running host when it is read again, at SIGHUP or within 2 s.

Cause: the file was decoded before the part that turns errors into SettingsError, which is all that a reload expects.

Change: the bytes are decoded with the JSON. A name that has no UTF-8 encoding is refused too, since a claim of the zone hashes it.

--- a/citronspring/host_settings.py
+++ b/citronspring/host_settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from citronspring.errors import SettingsError
+from citronspring.json_text import has_encoding
 from citronspring.light_stdlib import INFINITY, TYPE_CHECKING
 from citronspring.records import record
 
@@ -69,7 +70,7 @@
 def text_field(table: dict[str, Any], name: str) -> str:
     """Return a field that holds a non-empty string."""
     value = table.get(name)
-    if not isinstance(value, str) or not value:
+    if not isinstance(value, str) or not value or not has_encoding(value):
         raise invalid_field(name, value, "a non-empty string")
     return value
 
--- a/citronspring/platform/settings.py
+++ b/citronspring/platform/settings.py
@@ -48,14 +48,14 @@
             f"{PATH_VARIABLE} is not set", "set it to the path of the settings file"
         )
     try:
-        with open(path, encoding="utf-8") as file:
-            text = file.read()
+        with open(path, "rb") as file:
+            content = file.read()
     except OSError as error:
         raise SettingsError(
             f"the settings file {path} cannot be read: {error.strerror}",
             f"create the file or correct {PATH_VARIABLE}",
         ) from error
-    return decode_settings(text)
+    return decode_settings(content)
 
 
 def settings_version() -> int:
@@ -67,8 +67,8 @@
         return 0
 
 
-def decode_settings(text: str) -> HostSettings:
-    """Return the settings in the text of a settings file.
+def decode_settings(content: str | bytes) -> HostSettings:
+    """Return the settings in a settings file.
 
     Raises
     ------
@@ -76,7 +76,7 @@
         Gives the field, its value and what is expected.
     """
     try:
-        table = loads(text)
+        table = loads(content)
     except ValueError as error:
         raise SettingsError(
             f"the settings are not valid JSON: {error}", "correct the reported line"
--- a/tests/test_platform/test_settings.py
+++ b/tests/test_platform/test_settings.py
@@ -105,6 +105,7 @@
         ("node_name", None),
         ("node_name", ""),
         ("node_name", 7),
+        ("node_name", "\ud800"),
         ("zone", None),
         ("listen_addrs", None),
         ("listen_addrs", "10.1.0.10"),
@@ -117,6 +118,9 @@
         ("bounds.config_apply_ms", True),
         ("bounds.stable_window_ms", None),
         ("bounds.grace_s", "six"),
+        ("bounds.grace_s", 10**400),
+        ("bounds.grace_s", float("nan")),
+        ("bounds.stable_window_ms", float("inf")),
         ("listen_addrs.control", None),
         ("seeds", "10.1.0.10:8166"),
         ("seeds", ["host:1"]),
@@ -148,6 +152,16 @@
         read_settings()
 
 
+@pytest.mark.parametrize("content", [b"\xff", b"[" * 100_000])
+def test_content_that_cannot_be_decoded_is_refused(content, monkeypatch, tmp_path):
+    """Settings are overwritten with other bytes, and each running host ends."""
+    path = tmp_path / "settings"
+    path.write_bytes(content)
+    monkeypatch.setenv("CITRONSPRING_BOOT", str(path))
+    with pytest.raises(SettingsError, match="not valid JSON"):
+        read_settings()
+
+
 def test_reads_the_file_that_the_variable_names(monkeypatch, tmp_path):
     path = tmp_path / "settings"
     path.write_text(json.dumps(VALID_SETTINGS))
