--- a/citronspring/tokens/election.py
+++ b/citronspring/tokens/election.py
@@ -8,7 +8,7 @@
 
 from binascii import crc32
 
-from citronspring.events import LEASE_LOST, LEASE_TAKEN
+from citronspring.events import LEASE_LOST, LEASE_TAKEN, READER_CHANGED
 from citronspring.light_stdlib import INFINITY, TYPE_CHECKING
 from citronspring.tokens.messages import (
     ClaimZone,
@@ -24,6 +24,7 @@
 
 if TYPE_CHECKING:
     from citronspring.endpoints import Endpoint
+    from citronspring.tokens.entries import ReaderRemoved, ZoneReader
     from citronspring.tokens.messages import Action, ElectionAnswer, ElectionCall
     from citronspring.tokens.tables import Tables
 
@@ -212,3 +213,37 @@
     """Whether this host is registered as the reader of its zone."""
     holder = tables.zone_readers.get(tables.zone)
     return holder is not None and holder.host_id == tables.host_id
+
+
+def apply_zone_reader(
+    tables: Tables, reader: ZoneReader, actions: list[Action]
+) -> bool:
+    """Apply a zone reader's registration; return whether it changed anything."""
+    known = tables.zone_readers.get(reader.zone)
+    if known is not None and known.revision >= reader.revision:
+        return False
+    tables.zone_readers[reader.zone] = reader
+    if reader.zone != tables.zone:
+        return True
+    tables.follow.failures = 0
+    tables.follow.retry_at = 0.0
+    fields: dict[str, object] = {
+        "reader": reader.host_id,
+        "revision": reader.revision,
+    }
+    actions.append(Log(READER_CHANGED.number, fields))
+    return True
+
+
+def remove_zone_reader(
+    tables: Tables, removed: ReaderRemoved, actions: list[Action]
+) -> bool:
+    """Remove a zone reader's registration; return whether it changed anything."""
+    known = tables.zone_readers.get(removed.zone)
+    if known is None or known.revision > removed.revision:
+        return False
+    del tables.zone_readers[removed.zone]
+    if removed.zone == tables.zone:
+        fields: dict[str, object] = {"reader": "", "revision": removed.revision}
+        actions.append(Log(READER_CHANGED.number, fields))
+    return True
--- a/citronspring/tokens/entry_updates.py
+++ b/citronspring/tokens/entry_updates.py
@@ -4,12 +4,12 @@
 
 from citronspring.events import (
     ENTRY_UNREADABLE,
-    READER_CHANGED,
     TARGET_CHANGED,
     TARGET_REMOVED,
     TOKEN_TAKEN,
 )
 from citronspring.light_stdlib import INFINITY, TYPE_CHECKING
+from citronspring.tokens.election import apply_zone_reader, remove_zone_reader
 from citronspring.tokens.entities import token_of
 from citronspring.tokens.entries import (
     Configuration,
@@ -85,40 +85,6 @@
         tables.change_log.pending.append(change)
 
 
-def apply_zone_reader(
-    tables: Tables, reader: ZoneReader, actions: list[Action]
-) -> bool:
-    """Apply a zone reader's registration; return whether it changed anything."""
-    known = tables.zone_readers.get(reader.zone)
-    if known is not None and known.revision >= reader.revision:
-        return False
-    tables.zone_readers[reader.zone] = reader
-    if reader.zone != tables.zone:
-        return True
-    tables.follow.failures = 0
-    tables.follow.retry_at = 0.0
-    fields: dict[str, object] = {
-        "reader": reader.host_id,
-        "revision": reader.revision,
-    }
-    actions.append(Log(READER_CHANGED.number, fields))
-    return True
-
-
-def remove_zone_reader(
-    tables: Tables, removed: ReaderRemoved, actions: list[Action]
-) -> bool:
-    """Remove a zone reader's registration; return whether it changed anything."""
-    known = tables.zone_readers.get(removed.zone)
-    if known is None or known.revision > removed.revision:
-        return False
-    del tables.zone_readers[removed.zone]
-    if removed.zone == tables.zone:
-        fields: dict[str, object] = {"reader": "", "revision": removed.revision}
-        actions.append(Log(READER_CHANGED.number, fields))
-    return True
-
-
 def apply_target(
     tables: Tables, target: Target, now: float, actions: list[Action]
 ) -> bool:
--- a/citronspring/tokens/store_reader.py
+++ b/citronspring/tokens/store_reader.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from citronspring.events import (
-    COPY_TAKEN,
     STORE_HISTORY_LOST,
     STORE_LISTED,
     STORE_LOST,
@@ -178,6 +177,9 @@
         ):
             handle_reader_failure(tables, answer, now, actions)
         case PeerSnapshot():
+            # Imported on first use: hosts that start while the store answers need none.
+            from citronspring.tokens.snapshot_updates import apply_snapshot
+
             apply_snapshot(tables, answer, sent_at, now, actions)
         case Page():
             note_success(tables, now, actions)
@@ -302,41 +304,6 @@
     return known and is_of_earlier_epoch(reader.revision, reader.list_revision)
 
 
-def apply_snapshot(
-    tables: Tables,
-    snapshot: PeerSnapshot,
-    sent_at: float,
-    now: float,
-    actions: list[Action],
-) -> None:
-    """Apply a peer's snapshot; the store is asked for what came after it.
-
-    The snapshot keeps the age of the peer's state, so one from a peer that is
-    partitioned as well makes nothing current.
-    """
-    reader = tables.reader
-    entries: list[Entry] = [snapshot.configuration, *snapshot.entries]
-    if snapshot.complete:
-        apply_list(tables, entries, snapshot.revision, now, actions)
-    else:
-        # The snapshot may just have omitted what is missing.
-        for entry in entries:
-            apply_change(tables, entry, now, actions)
-    restart_list(tables)
-    # A watch reports only changes, so what a peer has omitted must be listed.
-    reader.listed = snapshot.complete
-    reader.revision = max(reader.revision, snapshot.revision)
-    start_change_log(tables)
-    reader.current_at = max(reader.current_at, sent_at - snapshot.age)
-    reader.call_at = now
-    fields: dict[str, object] = {
-        "configuration": snapshot.configuration.revision,
-        "entries": len(snapshot.entries),
-        "age": round(snapshot.age, 3),
-    }
-    actions.append(Log(COPY_TAKEN.number, fields))
-
-
 def handle_changes(
     tables: Tables,
     call: StoreCall,
