Let the soak write entries of other programs

`--writers` writes an entry for each pair of a field and one of eleven values that no host can use, at the start and as a fault among the others. It is a list of faults of its own, so that the seeds of the other lists choose as before.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -8,7 +8,7 @@
 
 from absl import app, flags
 
-from soak.faults import FAULTS, RESTORE_FAULTS, ZONE_FAULTS
+from soak.faults import FAULTS, RESTORE_FAULTS, WRITER_FAULTS, ZONE_FAULTS
 from soak.run import run_seed
 
 FIRST = flags.DEFINE_integer("first", 0, "First seed.")
@@ -21,6 +21,9 @@
 RESTORES = flags.DEFINE_bool(
     "restores", False, "Also drain zones and restore the store from backups."
 )
+WRITERS = flags.DEFINE_bool(
+    "writers", False, "Also write entries of other writers to the store."
+)
 
 
 def verdict(
@@ -43,6 +46,8 @@
         fault_kinds = ZONE_FAULTS if ZONES.value else FAULTS
         if RESTORES.value:
             fault_kinds = RESTORE_FAULTS
+        if WRITERS.value:
+            fault_kinds = WRITER_FAULTS
         runs = pool.map(verdict, seeds, repeat(SECONDS.value), repeat(fault_kinds))
         for seed, violations, line in runs:
             print(line, flush=True)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,6 +7,7 @@
 
 from citronspring.emulator.world import ZONES
 from soak.proxy import Mode
+from soak.writers import write_strange_entries
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -38,6 +39,9 @@
 #: Faults of hosts and targets, and changes of a route's services.
 SHARE_FAULTS = ("kill", "stop", "crash", "release", "shares", "shares")
 
+#: `FAULTS` and, twice as likely as the others, entries of other writers.
+WRITER_FAULTS = (*FAULTS, "entries", "entries")
+
 #: Services of the streams, one of which is chosen at each change.
 SERVICE_CHOICES = (("desk",), ("archive",), ("desk", "archive"))
 
@@ -91,6 +95,8 @@
             host.signal(signal.SIGHUP)
         case "shares":
             change_services(soak)
+        case "entries":
+            write_strange_entries(soak)
         case "proxy":
             modes = (Mode.DELAY, Mode.SILENT, Mode.ONE_WAY, Mode.RESET)
             host.proxy.set_mode(soak.clock.rng.choice(modes))
--- a/soak/run.py
+++ b/soak/run.py
@@ -30,6 +30,7 @@
 from soak.hosts import HostProcess, loopback_net
 from soak.proxy import Proxy
 from soak.store import StoreStandIn, serve
+from soak.writers import write_strange_entries
 
 if TYPE_CHECKING:
     from citronspring.tokens.entities import Packet
@@ -398,6 +399,8 @@
     if "shares" in soak.fault_kinds:
         # At least one change, since the few faults of a run are random.
         clock.at(STARTUP_SECONDS + 1.0, lambda: change_services(soak))
+    if "entries" in soak.fault_kinds:
+        clock.at(STARTUP_SECONDS + 1.0, lambda: write_strange_entries(soak))
     clock.run_until(end + 2.0)
     soak.check_last_requests(end)
     soak.violations += soak.checker.violations
--- a/soak/store.py
+++ b/soak/store.py
@@ -53,7 +53,16 @@
         """Write an entry."""
         with self.changed:
             self.values[key] = value
-            self.write(key, b64encode(json.dumps(value).encode()).decode(), 0)
+            self.write_text(key, json.dumps(value))
+
+    def put_text(self, key, text):
+        """Write an entry of any text, which may be no valid JSON."""
+        with self.changed:
+            self.write_text(key, text)
+
+    def write_text(self, key, text):
+        """Write an entry under no lease; `changed` has to be locked."""
+        self.write(key, b64encode(text.encode()).decode(), 0)
 
     def write(self, key, encoded, lease):
         """Write an entry under a lease; `changed` has to be locked."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,7 +5,7 @@
 from concurrent.futures import ProcessPoolExecutor
 from itertools import repeat
 
-from soak.faults import FAULTS, RESTORE_FAULTS, SHARE_FAULTS
+from soak.faults import FAULTS, RESTORE_FAULTS, SHARE_FAULTS, WRITER_FAULTS
 from soak.run import run_seed
 
 #: Seeds that once violated a guarantee, all in the same way: after a pause of a host,
@@ -29,6 +29,10 @@
 SHARE_SEEDS = (0, 1, 2)
 
 
+#: Seeds in which another program writes entries.
+WRITER_SEEDS = (0, 1, 2)
+
+
 def verdict(seed, kinds=FAULTS):
     """Run a seed; return its violations, its faults and its number of requests."""
     soak = run_seed(seed, SECONDS, kinds)
@@ -58,3 +62,12 @@
         for violations, faults, requests in runs:
             assert violations == [], faults
             assert requests > 100
+
+
+def test_entries_of_other_writers_end_no_process():
+    """One entry of another program ends every host, again at each start."""
+    with ProcessPoolExecutor(JOBS) as pool:
+        runs = pool.map(verdict, WRITER_SEEDS, repeat(WRITER_FAULTS))
+        for violations, faults, requests in runs:
+            assert violations == [], faults
+            assert requests > 100
