--- a/citronspring/tokens/entries.py
+++ b/citronspring/tokens/entries.py
@@ -132,8 +132,8 @@
 def check_target(target: Target) -> Target:
     """Return a target if its fields are in range.
 
-    Some of them are divided by, and others are carried by packets; the process would
-    end there.
+    The decision core divides by some of them, and packets carry others. Out of range,
+    they would fail there and end the process.
 
     Raises
     ------
