Give the host of the command line's test an address of its own

Cause: the test took four ports of 127.0.0.1 that were free for UDP and closed them. One of them becomes the TCP port of the administration API, which nobody had asked about: any connection of another test that has this port at its own end, even one in TIME-WAIT, keeps the host from listening. The host then ends at once with 'cannot listen on ...', and the test asked an ended process for 30 s, without a word of its log.

Change: the host uses an address that only this test process uses, as the hosts of tests/test_platform do.

--- a/tests/test_cli/test_serve.py
+++ b/tests/test_cli/test_serve.py
@@ -4,10 +4,8 @@
 
 import json
 import signal
-import socket
 import subprocess
 import sys
-from contextlib import ExitStack
 
 import anyio
 import pytest
@@ -16,43 +14,36 @@
 from citronspring.entities import Endpoint
 from citronspring.standins.memory import MemoryPlatform
 from citronspring.standins.platform import serve_platform
+from soak.hosts import loopback_net
 from tests.test_admin.hosts import EXAMPLES
 
 pytestmark = pytest.mark.anyio
 
 PROGRAM = (sys.executable, "-m", "citronspring")
-
-
-def free_ports(count):
-    """Return ports of loopback that are free for UDP, and very likely for TCP."""
-    with ExitStack() as stack:
-        ports = []
-        for _ in range(count):
-            udp = stack.enter_context(socket.socket(type=socket.SOCK_DGRAM))
-            udp.bind(("127.0.0.1", 0))
-            ports.append(udp.getsockname()[1])
-        return ports
+TUNNEL, RELAY, CONTROL, ADMIN = 6080, 6081, 6082, 6083
 
 
 def write_settings(path, platform):
-    tunnel, relay, control, admin = free_ports(4)
+    """Write the settings of a host; return the URL of its administration API."""
+    # On a shared address another test's connection could hold one of the ports.
+    ip = f"{loopback_net()}.250"
     settings = {
         "host": {
             "id": "drukkerij-1",
             "zone": "drukkerij",
-            "tunnel": f"127.0.0.1:{tunnel}",
-            "relay": f"127.0.0.1:{relay}",
-            "control": f"127.0.0.1:{control}",
+            "tunnel": f"{ip}:{TUNNEL}",
+            "relay": f"{ip}:{RELAY}",
+            "control": f"{ip}:{CONTROL}",
         },
         "fabric": {"gateway": "127.0.0.2:6080"},
         "platform": {
             "url": f"http://{platform}",
             "zones": ["drukkerij", "zetterij", "pakhuis"],
         },
-        "admin": {"listen": f"127.0.0.1:{admin}"},
+        "admin": {"listen": f"{ip}:{ADMIN}"},
     }
     path.write_text(tomli_w.dumps(settings))
-    return f"http://127.0.0.1:{admin}"
+    return f"http://{ip}:{ADMIN}"
 
 
 async def run(*words):
@@ -61,9 +52,11 @@
     return done.returncode, done.stdout.decode(), done.stderr.decode()
 
 
-async def wait_for(host):
+async def wait_for(host, process):
+    """Wait until the host answers; fail at once if its process has ended."""
     with anyio.fail_after(30):
         while (await run("status", f"--host={host}"))[0] != 0:
+            assert process.poll() is None, process.stderr.read()
             await anyio.sleep(0.1)
 
 
@@ -83,7 +76,7 @@
             stderr=subprocess.PIPE,
         )
         try:
-            await wait_for(host)
+            await wait_for(host, process)
             stream, account = EXAMPLES / "stream.toml", EXAMPLES / "bundelpers.toml"
             put = await run("template", "put", str(stream), f"--host={host}")
             assert put[0] == 0, put
