Hand on what the store reports, not what changed at the reader

Cause: the log for followers was derived from what changed in the reader's tables. Those depend on what the reader has read and ignored, and its followers have read something else.

Change: the log follows the store. Every change of a watch is logged; at a list every newer entry, and the removal of every entry that the store held. Only a host whose tables equal the store at its revision serves or follows.

Why it works: a follower at F that has all steps of the log between F and R has been told every change that the store reported there, or is told to read the store. What it holds beyond F can only come from a list whose pages differ, and then it does not follow until a watch has reached the last page.

test_entry_newer_than_the_first_page_is_served asked for the entry before the reader's watch. Such a reader now answers nobody: the test asks for the refusal, for the watch without a wait, and for the entry after it.

--- a/citronspring/tokens/change_feed.py
+++ b/citronspring/tokens/change_feed.py
@@ -55,35 +55,33 @@
     host: str = ""
 
 
-def log_changes(tables: Tables, now: float, newest: int = 0) -> None:
-    """Log the changes of a store answer for followers.
-
-    Parameters
-    ----------
-    tables : Tables
-        All state.
-    now : float
-        Current time in seconds.
-    newest : int
-        Largest revision of an entry in the answer. An entry on a later page of a list
-        may be newer than the first page. Logged under the revision of the first page,
-        it would be skipped for a follower that has read up to there, and the zone
-        reader itself sees no change when its watch brings the entry again.
-    """
+def log_changes(tables: Tables, now: float) -> None:
+    """Log the changes of an answer for followers, at the revision that it reaches."""
     log = tables.change_log
     last_revision = log.changes[-1].revision if log.changes else 0
-    revision = max(tables.reader.revision, newest, last_revision)
+    revision = max(tables.reader.revision, last_revision)
     log.changes.extend(LoggedChange(revision, change, now) for change in log.pending)
     log.pending.clear()
     while len(log.changes) > MAX_LOGGED_CHANGES:
         log.compacted_revision = log.changes.popleft().revision
+    while len(log.gaps) > MAX_LOGGED_CHANGES:
+        log.compacted_revision = max(log.compacted_revision, log.gaps.popleft()[1])
+
+
+def log_gap(tables: Tables, known_revision: int) -> None:
+    """Log that the answer skipped what lies between a known revision and its own."""
+    if known_revision < tables.reader.revision:
+        tables.change_log.gaps.append((known_revision, tables.reader.revision))
 
 
 def start_change_log(tables: Tables) -> None:
-    """Start the change log at the first list, which followers have read as well."""
-    tables.change_log.pending.clear()
-    tables.change_log.changes.clear()
-    tables.change_log.compacted_revision = tables.reader.revision
+    """Start the change log anew; followers that know less read the store."""
+    log = tables.change_log
+    log.pending.clear()
+    log.changes.clear()
+    log.gaps.clear()
+    log.compacted_revision = tables.reader.revision
+    log.spans_lists = False
 
 
 def answer_poll(
@@ -99,14 +97,17 @@
     not_serving = tables.leave_deadline is not None or tables.configuration == 0
     if not_serving or reader.failures or age > times.follow_age:
         return NOT_CURRENT, b"not current\n"
+    if not reader.consistent:
+        # What a list has brought beyond its revision would stay at a follower that
+        # then asks a host whose history has a gap there.
+        return None if now < poll.deadline else (NOT_CURRENT, b"not consistent\n")
     if epoch_of(poll.after_revision) != epoch_of(reader.revision):
         # One of the two may hold state that the restored store never had.
         return TOO_FAR_BEHIND, b"of another epoch of the store\n"
     if poll.after_revision < tables.change_log.compacted_revision:
         return TOO_FAR_BEHIND, b"further behind than what is kept\n"
-    skipped_from, skipped_to = tables.change_log.skipped
-    if skipped_from < poll.after_revision < skipped_to:
-        return TOO_FAR_BEHIND, b"a list has skipped what is known there\n"
+    if is_within_gap(tables.change_log, poll.after_revision):
+        return TOO_FAR_BEHIND, b"what is known there was skipped\n"
     changes = changes_above(tables.change_log, poll.after_revision)
     confirmed = reader.current_at > poll.asked_at
     if not changes and not confirmed and now < poll.deadline:
@@ -129,6 +130,16 @@
     return OK, body
 
 
+def is_within_gap(log: ChangeLog, revision: int) -> bool:
+    """Whether the log lacks changes that a follower at a revision needs."""
+    for first, last in reversed(log.gaps):
+        if last <= revision:
+            break
+        if first < revision:
+            return True
+    return False
+
+
 def changes_above(log: ChangeLog, revision: int) -> list[LoggedChange]:
     """Return the changes above a revision, oldest first.
 
--- a/citronspring/tokens/entry_updates.py
+++ b/citronspring/tokens/entry_updates.py
@@ -45,6 +45,33 @@
 GONE_RETENTION = 30.0
 
 
+def apply_and_log(
+    tables: Tables,
+    change: Change | ConfigurationChange,
+    now: float,
+    actions: list[Action],
+) -> None:
+    """Apply a change of the store, and log it for followers.
+
+    It is logged also if it changes nothing here. This host may have read it on a page
+    of its list, or may never have known a target that is removed, while its followers
+    have read other lists.
+    """
+    pending = tables.change_log.pending
+    match change:
+        case Configuration():
+            difference = apply_configuration(tables, change, now, actions)
+            if difference is not None:
+                pending.append(difference)
+            return
+        case Unreadable(started=None, shard=None):
+            # It changes nothing at any host.
+            pass
+        case _:
+            pending.append(change)
+    apply_change(tables, change, now, actions)
+
+
 def apply_change(
     tables: Tables,
     change: Change | ConfigurationChange,
@@ -52,37 +79,44 @@
     actions: list[Action],
 ) -> None:
     """Apply an entry or a removal, unless a newer one has been applied."""
-    changed: bool
     match change:
         case ZoneReader():
-            changed = apply_zone_reader(tables, change, actions)
+            apply_zone_reader(tables, change, actions)
         case ReaderRemoved():
-            changed = remove_zone_reader(tables, change, actions)
+            remove_zone_reader(tables, change, actions)
         case ZoneDrain():
             # Imported when a zone was drained; starting a host rarely needs it.
             from citronspring.tokens.zone_drains import apply_zone_drain
 
-            changed = apply_zone_drain(tables, change, actions)
+            apply_zone_drain(tables, change, actions)
         case RouteHistory():
             # Imported when the store has a route history; most have none.
             from citronspring.tokens.route_history import apply_route_history
 
-            changed = apply_route_history(tables, change, now, actions)
+            apply_route_history(tables, change, now, actions)
         case Configuration():
-            difference = apply_configuration(tables, change, now, actions)
-            if difference is not None:
-                tables.change_log.pending.append(difference)
-            return
+            apply_configuration(tables, change, now, actions)
         case ConfigurationChange():
-            changed = apply_configuration_change(tables, change, now, actions)
+            apply_configuration_change(tables, change, now, actions)
         case TargetRemoved():
-            changed = remove_target(tables, change, now, actions)
+            remove_target(tables, change, now, actions)
+            tables.ignored_entries.discard(change.target_id)
         case Target():
-            changed = apply_target(tables, change, now, actions)
+            apply_target(tables, change, now, actions)
+            note_ignored(tables, change.target_id, change.revision)
         case Unreadable():
-            changed = apply_unreadable(tables, change, now, actions)
-    if changed:
-        tables.change_log.pending.append(change)
+            apply_unreadable(tables, change, now, actions)
+            if change.shard is None:
+                note_ignored(tables, change.name, change.revision)
+
+
+def note_ignored(tables: Tables, target_id: str, revision: int) -> None:
+    """Record whether a target's entry in the store is ignored here."""
+    row = tables.targets.get(target_id)
+    if row is None or row.gone_at != INFINITY or row.target.revision < revision:
+        tables.ignored_entries.add(target_id)
+    else:
+        tables.ignored_entries.discard(target_id)
 
 
 def apply_target(
@@ -279,6 +313,10 @@
 ) -> None:
     """Apply a complete list; entries that are not in it are removed.
 
+    Logged is what differs from the entries at the known revision, and not from the
+    tables: a host ignores an entry that it cannot decode or that is of an earlier start
+    of its target, while a follower that started later knows no other one.
+
     Parameters
     ----------
     tables : Tables
@@ -297,8 +335,14 @@
     readers = set()
     drained = set()
     shards: set[int | None] = set()
+    known_revision = tables.reader.revision
+    ignored_before = tables.ignored_entries
+    tables.ignored_entries = set()
     for entry in entries:
-        apply_change(tables, entry, now, actions)
+        if isinstance(entry, Configuration) or entry.revision > known_revision:
+            apply_and_log(tables, entry, now, actions)
+        else:
+            apply_change(tables, entry, now, actions)
         match entry:
             case Target():
                 listed.add(entry.target_id)
@@ -316,23 +360,27 @@
         known = row.target
         if target_id in listed or known.revision > revision:
             continue
+        if row.gone_at != INFINITY:
+            continue
         if known.service in incomplete_services and is_of_earlier_epoch(
             known.revision, revision
         ):
             continue
-        apply_change(tables, TargetRemoved(target_id, revision), now, actions)
+        apply_and_log(tables, TargetRemoved(target_id, revision), now, actions)
+    for target_id in ignored_before - listed:
+        tables.change_log.pending.append(TargetRemoved(target_id, revision))
     for zone in tables.zone_readers.keys() - readers:
-        apply_change(tables, ReaderRemoved(zone, revision), now, actions)
+        apply_and_log(tables, ReaderRemoved(zone, revision), now, actions)
     if tables.zone_drains:
         from citronspring.tokens.zone_drains import missing_drains
 
         for end in missing_drains(tables, drained, revision):
-            apply_change(tables, end, now, actions)
+            apply_and_log(tables, end, now, actions)
     if tables.route_history.shards:
         from citronspring.tokens.route_history import removed_shards
 
         for removal in removed_shards(tables, shards, revision):
-            apply_change(tables, removal, now, actions)
+            apply_and_log(tables, removal, now, actions)
 
 
 def check_restored_services(tables: Tables, revision: int, now: float) -> set[str]:
--- a/citronspring/tokens/following.py
+++ b/citronspring/tokens/following.py
@@ -10,9 +10,9 @@
 
 from citronspring.events import FOLLOWING, READER_LOST
 from citronspring.light_stdlib import TYPE_CHECKING
-from citronspring.tokens.change_feed import log_changes
+from citronspring.tokens.change_feed import log_changes, log_gap
 from citronspring.tokens.entries import ConfigurationChange
-from citronspring.tokens.entry_updates import apply_change
+from citronspring.tokens.entry_updates import apply_and_log
 from citronspring.tokens.messages import (
     AnswerTooLarge,
     FeedAnswer,
@@ -84,19 +84,15 @@
     backup. When the same revision is rewritten, the reader logs no change for it, and
     its followers have to read it from the store.
     """
-    for change in answer.changes:
-        if isinstance(change, ConfigurationChange) and not is_applicable(
-            tables, change
-        ):
-            stop_following(tables, "a configuration is missing", now, actions)
-            return
-        apply_change(tables, change, now, actions)
-    if answer.configuration > tables.configuration:
+    reader = tables.reader
+    if not apply_feed_changes(tables, answer, now, actions):
+        # The store's history repeats what has been applied.
+        tables.change_log.pending.clear()
+        reader.consistent = False
+        reader.consistent_from = max(reader.revision, answer.revision)
         stop_following(tables, "a configuration is missing", now, actions)
         return
-    reader = tables.reader
-    reader.revision = max(reader.revision, answer.revision)
-    log_changes(tables, now)
+    advance_by_feed(tables, answer, now)
     confirmed_at = sent_at + answer.held - answer.age
     reader.current_at = max(reader.current_at, confirmed_at)
     if now - confirmed_at > times.follow_age:
@@ -111,6 +107,36 @@
         actions.append(Log(FOLLOWING.number, reader_log_fields(tables, now)))
 
 
+def apply_feed_changes(
+    tables: Tables, answer: FeedAnswer, now: float, actions: list[Action]
+) -> bool:
+    """Apply the changes of an answer; return whether they lead to its configuration."""
+    for change in answer.changes:
+        if isinstance(change, ConfigurationChange) and not is_applicable(
+            tables, change
+        ):
+            return False
+        apply_and_log(tables, change, now, actions)
+    return answer.configuration <= tables.configuration
+
+
+def advance_by_feed(tables: Tables, answer: FeedAnswer, now: float) -> None:
+    """Advance to the revision of an answer whose changes have been applied.
+
+    The zone reader may have read a list, which names no removal of a target that it has
+    never known. A host that is consistent does not have such a target either. Another
+    one keeps its revision until it has read the store's history from there.
+    """
+    reader = tables.reader
+    if not reader.consistent:
+        tables.change_log.pending.clear()
+        return
+    known_revision = reader.revision
+    reader.revision = max(reader.revision, answer.revision)
+    log_gap(tables, known_revision)
+    log_changes(tables, now)
+
+
 def handle_reader_failure(
     tables: Tables,
     answer: AnswerTooLarge | HistoryLost | Refused | Unanswered,
--- a/citronspring/tokens/peer_snapshot.py
+++ b/citronspring/tokens/peer_snapshot.py
@@ -37,6 +37,7 @@
     rows = [row for row in tables.targets.values() if row.gone_at > now]
     body = {
         "format": FORMAT_VERSION,
+        "consistent": tables.reader.consistent,
         "revision": tables.reader.revision,
         "age": max(now - tables.reader.current_at, 0.0),
         "configuration": encode_configuration(tables),
@@ -88,7 +89,8 @@
             (*targets, *drains, *histories),
             integer(found["revision"]),
             number(found["age"]),
-            complete=found.get("format") == FORMAT_VERSION,
+            complete=found.get("format") == FORMAT_VERSION
+            and found.get("consistent", True) is True,
         )
     except DECODE_ERRORS as error:
         return Unanswered(f"invalid snapshot: {error!r}")
--- a/citronspring/tokens/snapshot_updates.py
+++ b/citronspring/tokens/snapshot_updates.py
@@ -25,7 +25,9 @@
     """Apply a peer's snapshot; the store is asked for what came after it.
 
     The snapshot keeps the age of the peer's state, so one from a peer that is
-    partitioned as well makes nothing current.
+    partitioned as well makes nothing current. It may be older than what this host has
+    listed. The store's history is then read again from its revision, as it may contain
+    targets that have been removed since.
     """
     reader = tables.reader
     entries: list[Entry] = [snapshot.configuration, *snapshot.entries]
@@ -38,7 +40,9 @@
     restart_list(tables)
     # A watch reports only changes, so what a peer has omitted must be listed.
     reader.listed = snapshot.complete
-    reader.revision = max(reader.revision, snapshot.revision)
+    reader.consistent_from = max(reader.revision, snapshot.revision)
+    reader.revision = snapshot.revision
+    reader.consistent = snapshot.complete and reader.revision == reader.consistent_from
     start_change_log(tables)
     reader.current_at = max(reader.current_at, sent_at - snapshot.age)
     reader.call_at = now
--- a/citronspring/tokens/store_reader.py
+++ b/citronspring/tokens/store_reader.py
@@ -10,15 +10,10 @@
     STORE_RESTORED,
 )
 from citronspring.light_stdlib import INFINITY, TYPE_CHECKING
-from citronspring.tokens.change_feed import log_changes, start_change_log
+from citronspring.tokens.change_feed import log_changes, log_gap, start_change_log
 from citronspring.tokens.election import drop_unknown_lease, is_zone_reader
-from citronspring.tokens.entries import (
-    Configuration,
-    count_of,
-    epoch_of,
-    is_of_earlier_epoch,
-)
-from citronspring.tokens.entry_updates import apply_change, apply_list
+from citronspring.tokens.entries import count_of, epoch_of, is_of_earlier_epoch
+from citronspring.tokens.entry_updates import apply_and_log, apply_list
 from citronspring.tokens.following import (
     apply_feed,
     follow_call,
@@ -43,7 +38,6 @@
 from citronspring.tokens.times import FOLLOW_SLACK, ZONE_READER_PAUSE
 
 if TYPE_CHECKING:
-    from citronspring.tokens.entries import Entry
     from citronspring.tokens.messages import Action, StoreAnswer, StoreCall
     from citronspring.tokens.tables import Tables
     from citronspring.tokens.times import ReaderTimes
@@ -92,7 +86,8 @@
     if not reader.listed:
         return ListEntries(reader.next_key)
     zone_reader = reader_to_follow(tables, now)
-    if reader.wants_immediate_answer and (zone_reader is None or not reader.failures):
+    needs_store = reader.wants_immediate_answer or not reader.consistent
+    if needs_store and (zone_reader is None or not reader.failures):
         return WatchEntries(reader.revision, 0.0)
     if zone_reader is not None:
         # This also covers a store that serves other hosts but not this one.
@@ -260,28 +255,24 @@
         record_listed_warmups(tables, now)
     if restored:
         drop_unknown_lease(tables)
-    if reader.list_revision > reader.revision:
-        tables.change_log.skipped = (reader.revision, reader.list_revision)
+    known_revision = reader.revision
     # The pages are no consistent snapshot. The watch starts at the revision of the
     # first page, and so repeats what has changed since.
     reader.revision = max(reader.revision, reader.list_revision)
     reader.current_at = max(reader.current_at, reader.list_sent_at)
-    if tables.change_log.compacted_revision:
-        log_changes(tables, now, newest_of(reader.list_entries))
+    if reader.consistent and tables.change_log.spans_lists and not restored:
+        log_gap(tables, known_revision)
+        log_changes(tables, now)
     else:
+        # Followers may know entries that this host has never read.
         start_change_log(tables)
+    tables.change_log.spans_lists = True
+    reader.consistent_from = page.revision
+    reader.consistent = reader.revision >= page.revision
     restart_list(tables)
     reader.listed = True
 
 
-def newest_of(entries: list[Entry]) -> int:
-    """Return the largest store revision among entries."""
-    return max(
-        (entry.revision for entry in entries if not isinstance(entry, Configuration)),
-        default=0,
-    )
-
-
 def log_list(tables: Tables, actions: list[Action]) -> None:
     """Log the store's revision, and whether it was restored from a backup."""
     reader = tables.reader
@@ -322,15 +313,17 @@
         return
     tables.reader.histories_lost = 0
     for change in answer.changes:
-        apply_change(tables, change, now, actions)
+        apply_and_log(tables, change, now, actions)
     reader = tables.reader
     if answer.revision is not None:
         reader.revision = max(reader.revision, answer.revision)
+    if not answer.changes or reader.revision >= reader.consistent_from:
+        reader.consistent = True
     log_changes(tables, now)
     confirmed_at = sent_at + unchanged_seconds(call, answer, sent_at, now)
     reader.current_at = max(reader.current_at, confirmed_at)
     pause = ZONE_READER_PAUSE if is_zone_reader(tables) else WATCH_PAUSE
-    reader.call_at = now + pause if answer.changes else now
+    reader.call_at = now + pause if answer.changes and reader.consistent else now
 
 
 def unchanged_seconds(
--- a/citronspring/tokens/tables.py
+++ b/citronspring/tokens/tables.py
@@ -86,6 +86,11 @@
     revision: int = 0
     #: False until a complete list has been applied, and after the history was lost.
     listed: bool = False
+    #: Whether the tables equal the store at `revision`. Pages of a list are read one
+    #: after the other, so the tables first equal it at a revision that a watch reaches.
+    consistent: bool = False
+    #: Revision at which they do at the latest: that of the last page.
+    consistent_from: int = 0
     #: Time up to which this host has applied all changes.
     current_at: float = -INFINITY
     #: Time from which the next call may be made.
@@ -179,9 +184,12 @@
     pending: list[FeedChange] = field(default_factory=list)
     #: The log does not contain changes at or below this revision.
     compacted_revision: int = 0
-    #: Range of revisions that the last list has skipped, both ends excluded. The log
-    #: does not contain entries that were added and removed within it.
-    skipped: tuple[int, int] = (0, 0)
+    #: Ranges of revisions that were skipped, ascending, both ends excluded. The log
+    #: does not contain entries that were added and removed within one.
+    gaps: deque[tuple[int, int]] = field(default_factory=deque)
+    #: Whether a list may continue the log, as this host knows all entries of the store
+    #: at its revision. A snapshot of a peer omits those that the peer ignores.
+    spans_lists: bool = False
     changes: deque[LoggedChange] = field(default_factory=deque)
     #: Token bucket for traffic to followers: rate in bytes per second, bytes available,
     #: and time of the last refill. Until the settings are known, the rate is that of a
@@ -244,6 +252,9 @@
     #: Longest lifetime of a flow in seconds.
     flow_lifetime: float = DEFAULT_FLOW_LIFETIME
     targets: dict[str, TargetRow] = field(default_factory=dict)
+    #: Targets whose entry in the store is not the one in their row, or that have none:
+    #: it cannot be decoded, or is of an earlier start.
+    ignored_entries: set[str] = field(default_factory=set)
     by_token: dict[int, TargetRow] = field(default_factory=dict)
     #: Registered targets of each service, including those that are leaving.
     by_service: dict[str, list[TargetRow]] = field(default_factory=dict)
