Keep the end of a host's grace period to itself

What followers saw: none in service.

Cause: after a restore, a host removes the entries of the earlier epoch that were not written again in time, as if the store had removed them. The store may hold an entry of an earlier start of the target, which the host ignores; a follower that started since then knows that entry alone. It lost it, as long as changes of the tables were logged; and the host forgot that it ignores an entry, so that the removal of that one was not handed on later.

Change: the end of the grace period removes the host's row and nothing else. Every host with entries of an earlier epoch has a period of its own.

Test: test_expired_entry_is_not_taken_from_followers.

--- a/citronspring/tokens/restore_grace.py
+++ b/citronspring/tokens/restore_grace.py
@@ -14,7 +14,7 @@
     epoch_of,
     is_of_earlier_epoch,
 )
-from citronspring.tokens.entry_updates import apply_change
+from citronspring.tokens.entry_updates import apply_change, remove_target
 
 if TYPE_CHECKING:
     from citronspring.tokens.messages import Action
@@ -90,6 +90,14 @@
 
 
 def expire_missing_entries(tables: Tables, now: float, actions: list[Action]) -> None:
-    """Remove the entries that were not rewritten in time."""
+    """Remove the entries that were not rewritten in time.
+
+    Followers do this by themselves. One that started since then may hold an entry that
+    the restored store has for the same target.
+    """
     for removal in expired_entries(tables, now):
-        apply_change(tables, removal, now, actions)
+        match removal:
+            case TargetRemoved():
+                remove_target(tables, removal, now, actions)
+            case ZoneDrain():
+                apply_change(tables, removal, now, actions)
--- a/tests/test_tokens/test_feed_consistency.py
+++ b/tests/test_tokens/test_feed_consistency.py
@@ -10,7 +10,9 @@
     Target,
     TargetRemoved,
     Unreadable,
+    ZoneDrain,
     ZoneReader,
+    ordered_revision,
 )
 from citronspring.tokens.messages import (
     Changes,
@@ -122,6 +124,28 @@
     assert (served.name, served.started) == ("i-9", 2000)
 
 
+def test_expired_entry_is_not_taken_from_followers():
+    """A restored store holds an earlier start of a target than the zone reader knows.
+
+    When its own is not written again in time, the store's one goes on elsewhere.
+    """
+    driver = make_zone_reader(make_target(1), make_target(9, started=2000))
+    driver.answer(HistoryLost(1))
+    restored = ordered_revision(1, 2)
+    older = make_target(9, started=1000, revision=restored)
+    driver.list_store(make_configuration(), OWN, older, revision=restored)
+    driver.wait(20.0)
+    assert driver.tables.targets["i-1"].gone_at < driver.now
+    drain = ZoneDrain("south", restored + 1)
+    driver.answer(Changes((drain,), restored + 1, 1))
+    (served,) = poll_reader(driver, after=restored).changes
+    assert isinstance(served, ZoneDrain)
+    driver.answer(HistoryLost(1))
+    driver.list_store(make_configuration(), OWN, drain, revision=restored + 9)
+    (served,) = poll_reader(driver, after=restored + 1).changes
+    assert (type(served), served.target_id) == (TargetRemoved, "i-9")
+
+
 def test_list_of_an_inconsistent_host_starts_the_log_anew():
     """A watch after a list is lost, and the next list lacks a target of the first one.
 
--- a/tests/test_tokens/test_following_model.py
+++ b/tests/test_tokens/test_following_model.py
@@ -8,6 +8,7 @@
     balancer,
     entry_updates,
     following,
+    restore_grace,
     snapshot_updates,
     store_reader,
 )
@@ -107,6 +108,16 @@
     patch(snapshot_updates, "apply_snapshot", apply)
 
 
+def hand_on_expired_entries(patch):
+    remove_target = restore_grace.remove_target
+
+    def remove(tables, removed, *arguments):
+        tables.change_log.pending.append(removed)
+        return remove_target(tables, removed, *arguments)
+
+    patch(restore_grace, "remove_target", remove)
+
+
 def forget_ignored_entries(patch):
     patch(entry_updates, "note_ignored", lambda *arguments: None)
 
@@ -146,6 +157,7 @@
         take_snapshots_for_consistent,
         paths.test_history_is_read_from_an_older_snapshot_on,
     ),
+    (hand_on_expired_entries, paths.test_expired_entry_is_not_taken_from_followers),
     (forget_ignored_entries, paths.test_removal_of_an_unreadable_entry_is_served),
 ]
 
