Let the token of a packet replace the row of an earlier flow

Cause: while the host is out for the first time, its flows pass another host and leave rows there for the idle timeout. They end at the first host, and callers use the ports again. A row decided over the packet's token as long as it existed, though it knows nothing of what passed through other hosts.

Change: a packet whose token names another target of the route, and whose sequence numbers do not continue the row's flow, replaces the row, or is dropped while the row has seen a packet of its own within 0.5 s (a late copy of an earlier flow; its target would reset the current one). The row still decides for a second answer to an opening, unknown and foreign tokens.

The emulator's checker took the end of an earlier flow for that of the newer one from its port.

--- a/citronspring/emulator/callers.py
+++ b/citronspring/emulator/callers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from citronspring.tcp_flags import ACK, FIN, RST, SYN
@@ -29,6 +29,12 @@
 #: Payload bytes of every request.
 REQUEST_BYTES = 200
 
+#: Requests over each further flow from the same port.
+REQUESTS_AFTER_REUSE = 8
+
+#: Pauses in seconds before a port is used again; a host may leave in the longest one.
+REUSE_PAUSES = (0.01, 0.3, 1.5, 5.0)
+
 #: Mean seconds between two requests of a stream, from an answer to the next request.
 MEAN_REQUEST_GAP = 0.5
 
@@ -51,7 +57,10 @@
 
 @dataclass(slots=True, eq=False)
 class EmulatedCaller:
-    """A caller with one flow at a time; a retry opens a new flow from a new port."""
+    """A caller with one flow at a time; a retry opens a new flow from a new port.
+
+    After its last request it may use the port again, as callers with few ports do.
+    """
 
     clock: Clock
     routers: Routers
@@ -63,6 +72,8 @@
     #: Requests that this caller has yet to start.
     requests_left: int
     port: int
+    #: Pauses in seconds from the end of each flow to the next one from its port.
+    reuse_pauses: list[float] = field(default_factory=list)
     state: str = "closed"
     seq: int = 0
     ack: int = 0
@@ -193,6 +204,8 @@
         if self.requests_left <= 0:
             self.send(FIN | ACK)
             self.close_flow()
+            if self.reuse_pauses:
+                self.clock.after(self.reuse_pauses.pop(), self.reuse_port)
             return
         self.send(ACK)
         flow = self.flow
@@ -210,6 +223,13 @@
         self.clock.at(request.deadline, lambda: self.expire_request(request))
         self.send_request()
 
+    def reuse_port(self) -> None:
+        """Open the next flow from the port of the last one, if that has ended."""
+        if self.state == "closed" and self.checker.live_owner(self.flow) is None:
+            self.requests_left = REQUESTS_AFTER_REUSE
+            self.port -= 1
+            self.start()
+
     def end_attempt(self, *, may_have_run: bool) -> None:
         """Retry on a new flow if the request is safe to retry and attempts remain."""
         request = self.request
--- a/citronspring/emulator/checker.py
+++ b/citronspring/emulator/checker.py
@@ -115,8 +115,9 @@
         self.owners[flow] = target
 
     def flow_closed(self, target: EmulatedTarget, flow: bytes) -> None:
-        """Record that a flow has ended at its target."""
-        self.owners.pop(flow, None)
+        """Record that a flow has ended, unless its port is in use again."""
+        if self.owners.get(flow) is target:
+            del self.owners[flow]
 
     def live_owner(self, flow: bytes) -> EmulatedTarget | None:
         """Return the running target at which a flow is open, or None."""
--- a/citronspring/emulator/world.py
+++ b/citronspring/emulator/world.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from citronspring.emulator.callers import EmulatedCaller
+from citronspring.emulator.callers import REUSE_PAUSES, EmulatedCaller
 from citronspring.emulator.checker import CHANGE_BOUND, SETTLING, Checker
 from citronspring.emulator.clock import Clock
 from citronspring.emulator.hosts import EmulatedHost
@@ -72,6 +72,8 @@
     settling: float = SETTLING
     #: Requests that a stream sends over one flow.
     stream_requests: int = STREAM_REQUESTS
+    #: Flows that a caller opens from the port of its first one.
+    port_reuses: int = 0
     #: Length in seconds of the warm-up of a target that starts during traffic.
     warmup_seconds: float = 0.0
 
@@ -249,6 +251,7 @@
             DEADLINES.get(route, 1.5),
             self.sizes.stream_requests if route == STREAMS else 1,
             self.callers << 20,
+            rng.choices(REUSE_PAUSES, k=self.sizes.port_reuses),
         )
         caller.start()
 
--- a/citronspring/tokens/flows.py
+++ b/citronspring/tokens/flows.py
@@ -18,6 +18,10 @@
 #: Seconds without a byte after which an upload counts as abandoned.
 UPLOAD_TIMEOUT = 2.0
 
+#: Seconds for which a copy of a packet may be under way: a caller retransmits after
+#: 200 ms, and one that has closed its flow sends nothing of it any more.
+COPY_LIFETIME = 0.5
+
 #: Interval in seconds between two passes that remove expired rows.
 SWEEP_INTERVAL = 1.0
 
@@ -50,6 +54,7 @@
 def touch_flow(tables: Tables, flow: FlowRow, now: float) -> None:
     """Extend the lifetime of a flow's row by the idle timeout."""
     flow.expires_at = now + tables.idle_timeout
+    flow.newest_until = now + COPY_LIFETIME
 
 
 def start_request(flow: FlowRow, now: float) -> None:
--- a/citronspring/tokens/forwarding.py
+++ b/citronspring/tokens/forwarding.py
@@ -13,6 +13,7 @@
     note_retransmission,
 )
 from citronspring.tokens.flows import (
+    MAX_IN_FLIGHT,
     close_flow,
     count_request_bytes,
     end_request,
@@ -105,6 +106,16 @@
 ) -> None:
     """Forward a packet of a flow by its token, and record what it shows."""
     flow = tables.flows.get(packet.flow)
+    if (
+        flow is not None
+        and packet.token != flow.target.token
+        and is_of_another_flow(tables, packet, flow, now)
+    ):
+        if now < flow.newest_until:
+            actions.append(Drop(packet, DropReason.OTHER_TOKEN, route.name))
+            return
+        close_flow(tables, packet.flow, flow)
+        flow = None
     if flow is None or not flow.open:
         row = tables.by_token.get(packet.token)
         if row is None:
@@ -131,6 +142,31 @@
         close_flow(tables, packet.flow, flow)
 
 
+def is_of_another_flow(
+    tables: Tables, packet: Packet, flow: FlowRow, now: float
+) -> bool:
+    """Whether a packet's token shows that it is not of the flow of a row.
+
+    A caller uses a port again. If its earlier flow ended through another host, this one
+    still has the row of that flow, and its target would reset the new one. A second
+    target that answers the opening changes the token too, but the packets that follow
+    continue the flow of the row.
+    """
+    if not flow.open or continues_flow(packet, flow):
+        return False
+    row = tables.by_token.get(packet.token)
+    return row is not None and is_service_of_route(
+        tables, packet.route, row.target.service, now
+    )
+
+
+def continues_flow(packet: Packet, flow: FlowRow) -> bool:
+    """Whether both sequence numbers of a packet lie near those seen last."""
+    ahead = (packet.seq - flow.next_seq + MAX_IN_FLIGHT) & SEQ_MASK
+    acknowledged = (packet.ack - flow.ack + MAX_IN_FLIGHT) & SEQ_MASK
+    return ahead <= 2 * MAX_IN_FLIGHT and acknowledged <= 2 * MAX_IN_FLIGHT
+
+
 def is_service_of_route(tables: Tables, route: int, service: str, now: float) -> bool:
     """Whether a route has a service, or had it and the host still remembers that."""
     row = tables.route_services[route].get(service)
--- a/citronspring/tokens/messages.py
+++ b/citronspring/tokens/messages.py
@@ -25,6 +25,7 @@
     NO_ROUTE = "no-route"
     UNKNOWN_TOKEN = "unknown-token"
     FOREIGN_TOKEN = "foreign-token"
+    OTHER_TOKEN = "other-token"
     NOT_CONFIGURED = "not-configured"
     NOT_CURRENT = "not-current"
     WAITED = "waited"
--- a/citronspring/tokens/rows.py
+++ b/citronspring/tokens/rows.py
@@ -224,6 +224,9 @@
     retransmissions: int = 0
     #: Time from which the row may be removed.
     expires_at: float = 0.0
+    #: Time until which a packet of another flow with the same addresses and ports
+    #: counts as a late copy of an earlier flow's.
+    newest_until: float = 0.0
     #: Targets that the opening was sent to.
     tried: list[TargetRow] = field(default_factory=list)
     #: The opening itself, while it may have to be sent to another target.
--- a/soak/run.py
+++ b/soak/run.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING
 from zlib import crc32
 
-from citronspring.emulator.callers import EmulatedCaller
+from citronspring.emulator.callers import REUSE_PAUSES, EmulatedCaller
 from citronspring.emulator.checker import Checker
 from citronspring.emulator.network import Network
 from citronspring.emulator.store import EmulatedStore
@@ -48,8 +48,9 @@
 #: Seconds after a change of services in which a host may not know a new one yet.
 SHARES_SECONDS = 3.0
 
-#: Callers that start per second.
-CALLERS_PER_SECOND = 12.0
+#: Callers that start per second, and further flows of each from the same port.
+CALLERS_PER_SECOND = 6.0
+PORT_REUSES = 2
 
 #: Ratio of the last requests that must be served.
 MIN_SERVED_RATIO = 0.9
@@ -242,6 +243,7 @@
             DEADLINES[route],
             self.stream_requests if route == STREAMS else 1,
             1024 + self.callers * 8,
+            self.clock.rng.choices(REUSE_PAUSES, k=PORT_REUSES),
         )
         caller.start()
         pause = self.clock.rng.expovariate(CALLERS_PER_SECOND)
