Drop the packets of flows that waited while routers gave up on a host

What callers saw: none in service.

Cause: its socket still held packets of flows that had moved to other hosts and ended there. After a stall only openings were dropped; other packets were taken for harmless copies, which they are as long as no port is used again.

Change: after a stall of more than a second, in which routers miss two probes, what waited is dropped. Callers have retransmitted it to the hosts in rotation, and the platform itself drops what is not read in time.

--- a/citronspring/tokens/balancer.py
+++ b/citronspring/tokens/balancer.py
@@ -65,6 +65,11 @@
 STALL_THRESHOLD = 0.2
 
 
+#: Stall of the process, in seconds, in which routers may take the host out of rotation:
+#: two of their probes, which come twice per second, get no answer.
+ROTATION_TIME = 1.0
+
+
 class TokenBalancer:
     """The decisions of one host; a pure core that gets time and I/O as arguments.
 
@@ -122,9 +127,11 @@
             Seconds that the process slept on purpose since the last iteration began.
         """
         tables = self.tables
-        stalled = now - tables.iteration_started_at - slept >= STALL_THRESHOLD
+        stall = now - tables.iteration_started_at - slept
+        stalled = stall >= STALL_THRESHOLD
         if stalled:
             tables.stale = True
+            tables.flows_moved = tables.flows_moved or stall > ROTATION_TIME
             tables.counters["pauses"] += 1
             note_disturbance(tables.local_path, now)
         tables.iteration_started_at = now
@@ -247,7 +254,7 @@
         """
         actions: list[Action] = []
         tables = self.tables
-        tables.stale = False
+        tables.stale = tables.flows_moved = False
         for key in unanswered_openings(tables, now):
             flow = tables.flows[key]
             route = tables.routes.get(flow.route)
--- a/citronspring/tokens/forwarding.py
+++ b/citronspring/tokens/forwarding.py
@@ -78,12 +78,25 @@
     route = tables.routes.get(packet.route)
     if route is None:
         receive_unrouted(packet, current, actions)
+    elif tables.stale and may_be_outdated(tables, packet):
+        actions.append(Drop(packet, DropReason.WAITED))
     elif packet.flags & SYN:
         receive_opening(tables, packet, route, now, actions)
     else:
         receive_established(tables, packet, route, now, actions)
 
 
+def may_be_outdated(tables: Tables, packet: Packet) -> bool:
+    """Whether a packet that waited while the process stalled must not be forwarded.
+
+    Its caller has retransmitted it. An opened flow may be open through another host;
+    placed again, it would get an answer of a second target. Another packet may be of a
+    flow that has ended through another host, while its port is in use again. Its target
+    would reset the new flow.
+    """
+    return bool(packet.flags & SYN) or tables.flows_moved
+
+
 def receive_unrouted(packet: Packet, current: bool, actions: list[Action]) -> None:
     """Refuse or drop a packet to an address without a route.
 
--- a/citronspring/tokens/openings.py
+++ b/citronspring/tokens/openings.py
@@ -53,12 +53,6 @@
     tables: Tables, packet: Packet, route: Route, now: float, actions: list[Action]
 ) -> None:
     """Place a new flow, or handle a retransmitted opening."""
-    if tables.stale:
-        # The caller has retransmitted, and its flow may be open through another host.
-        # If it were placed again, a second target would answer, and packets of the
-        # caller could be forwarded to that one.
-        actions.append(Drop(packet, DropReason.WAITED))
-        return
     flow = tables.flows.get(packet.flow)
     if flow is not None and flow.first_seq != packet.seq:
         close_flow(tables, packet.flow, flow)
--- a/citronspring/tokens/tables.py
+++ b/citronspring/tokens/tables.py
@@ -304,6 +304,8 @@
     #: queue may have waited for long.
     iteration_started_at: float = INFINITY
     stale: bool = False
+    #: Whether they may have waited until routers sent their flows to other hosts.
+    flows_moved: bool = False
     #: When expired rows are removed next.
     sweep_at: float = 0.0
     #: Latest time at which the host exits; None unless it is leaving.
