Run timers after a batch of datagrams that empties the socket

What callers saw: none reported; read in the review. A host that has read exactly 64 datagrams and then gets none runs no timers until the next packet, so an unanswered opening goes to no other target, and uses a whole processor.

Cause: timers wait until the socket is known to be empty, and only a read that found nothing said so. After a full batch nobody reads again, as select reports no event, and the overdue timer ends each wait at once.

Change: a socket that select does not report counts as empty. A stall still reads first, as begin_iteration says.

The fixtures of host processes move to conftest.py, as two files use them now.

--- a/citronspring/daemons/token_host.py
+++ b/citronspring/daemons/token_host.py
@@ -158,6 +158,8 @@
         """Run one iteration of the event loop: packets first, then timers."""
         sleep = self.sleep_time(boot_clock())
         ready = self.selector.select(sleep)
+        # If the last batch has emptied the socket, nothing else would tell.
+        self.socket_drained = True
         if self.receiving and self.core.begin_iteration(boot_clock(), sleep):
             # A wait that is interrupted by the end of a stall reports no events. Queued
             # packets are read here before they could count as fresh.
--- a/tests/test_platform/test_process.py
+++ b/tests/test_platform/test_process.py
@@ -13,7 +13,6 @@
 
 import pytest
 
-from soak.store import serve
 from tests.test_platform.process import (
     ACK,
     COPIES,
@@ -28,30 +27,6 @@
 from tests.test_platform.test_store import CONFIGURATION, ROUTE, TARGET
 
 
-@pytest.fixture
-def host(tmp_path):
-    host = Host(tmp_path)
-    with serve(host.store) as port:
-        host.store_port = port
-        host.start(port)
-        try:
-            yield host
-        finally:
-            if host.process.poll() is None:
-                host.process.send_signal(signal.SIGCONT)
-                host.process.kill()
-            host.process.wait()
-            host.target.close()
-            host.caller.close()
-
-
-@pytest.fixture
-def serving(host):
-    host.configure()
-    eventually(lambda: host.status() == 200)
-    return host
-
-
 def test_forwards_an_opening_and_then_by_its_token(serving):
     serving.send(packet(SYN))
     opening = serving.target.recv(2048)
