Hand on the number of peers at a reload

A host without a configuration, refused by the store, ends with a ZeroDivisionError when a reload leaves no seeds: it asks peers by turns, modulo their number.

Cause: the decision core got the number of peers at the start alone. Peers that a reload adds were never asked either.

Change: the core gets the new number with the new settings.

Test: test_settings_that_lose_all_peers_do_not_end_a_starting_host, a real process; before, it ended.

--- a/citronspring/daemons/store_calls.py
+++ b/citronspring/daemons/store_calls.py
@@ -103,6 +103,7 @@
     def apply_settings(self, settings: HostSettings) -> None:
         """Use new settings from the next call on."""
         self.settings = settings
+        self.core.tables.peers = len(settings.peers)
         self.store.endpoint = self.election.endpoint = settings.store
         self.claim_delay = claim_delay(settings.host_id, settings.processor_share)
 
