Move the lists of placeable targets to placement

Listing a target under its service, its removal from there and the release of its token serve placement and restarts too. No behaviour changes.

--- a/citronspring/tokens/entry_updates.py
+++ b/citronspring/tokens/entry_updates.py
@@ -25,12 +25,18 @@
     with_revision,
 )
 from citronspring.tokens.messages import Log
-from citronspring.tokens.placement import placement_order, tie_break_rank
+from citronspring.tokens.placement import (
+    list_under_service,
+    placement_order,
+    release_token,
+    tie_break_rank,
+    unlist_from_service,
+)
 from citronspring.tokens.routes import (
     apply_configuration,
     apply_configuration_change,
 )
-from citronspring.tokens.rows import ServiceTargets, TargetRow
+from citronspring.tokens.rows import TargetRow
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -229,45 +235,6 @@
     return row
 
 
-def list_under_service(tables: Tables, row: TargetRow) -> None:
-    """List a target under its service, unless another target holds its token.
-
-    Flows of two targets with one token would reach the wrong one, so the later target
-    gets no flows.
-    """
-    if tables.by_token.get(row.token) is not row:
-        return
-    rows = tables.by_service.setdefault(row.target.service, [])
-    if row not in rows:
-        rows.append(row)
-    split = tables.targets_by_zone.setdefault(row.target.service, ServiceTargets())
-    here, elsewhere = split.home, split.others
-    if row.target.zone != tables.zone:
-        here, elsewhere = elsewhere, here
-    if row not in here:
-        here.append(row)
-    if row in elsewhere:
-        elsewhere.remove(row)
-
-
-def unlist_from_service(tables: Tables, row: TargetRow) -> None:
-    """Remove a target from its service, so that it gets no new flows."""
-    rows = tables.by_service.get(row.target.service, [])
-    if row not in rows:
-        return
-    rows.remove(row)
-    split = tables.targets_by_zone[row.target.service]
-    for part in (split.home, split.others):
-        if row in part:
-            part.remove(row)
-
-
-def release_token(tables: Tables, row: TargetRow) -> None:
-    """Remove the mapping of a target's token, if the target holds it."""
-    if tables.by_token.get(row.token) is row:
-        del tables.by_token[row.token]
-
-
 def log_target(row: TargetRow, actions: list[Action]) -> None:
     """Log the state of a target."""
     target = row.target
--- a/citronspring/tokens/placement.py
+++ b/citronspring/tokens/placement.py
@@ -1,4 +1,4 @@
-"""Placement: choosing the target of a new flow."""
+"""Placement: choosing the target of a new flow, and listing those to choose from."""
 
 from __future__ import annotations
 
@@ -6,6 +6,7 @@
 
 from citronspring.light_stdlib import TYPE_CHECKING
 from citronspring.tokens.evidence import is_avoided, seems_unreachable
+from citronspring.tokens.rows import ServiceTargets
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -239,3 +240,42 @@
     """Record that a target was given a flow."""
     row.placed_at = now
     row.order = placement_order(row)
+
+
+def list_under_service(tables: Tables, row: TargetRow) -> None:
+    """List a target under its service, unless another target holds its token.
+
+    Flows of two targets with one token would reach the wrong one, so the later target
+    gets no flows.
+    """
+    if tables.by_token.get(row.token) is not row:
+        return
+    rows = tables.by_service.setdefault(row.target.service, [])
+    if row not in rows:
+        rows.append(row)
+    split = tables.targets_by_zone.setdefault(row.target.service, ServiceTargets())
+    here, elsewhere = split.home, split.others
+    if row.target.zone != tables.zone:
+        here, elsewhere = elsewhere, here
+    if row not in here:
+        here.append(row)
+    if row in elsewhere:
+        elsewhere.remove(row)
+
+
+def unlist_from_service(tables: Tables, row: TargetRow) -> None:
+    """Remove a target from its service, so that it gets no new flows."""
+    rows = tables.by_service.get(row.target.service, [])
+    if row not in rows:
+        return
+    rows.remove(row)
+    split = tables.targets_by_zone[row.target.service]
+    for part in (split.home, split.others):
+        if row in part:
+            part.remove(row)
+
+
+def release_token(tables: Tables, row: TargetRow) -> None:
+    """Remove the mapping of a target's token, if the target holds it."""
+    if tables.by_token.get(row.token) is row:
+        del tables.by_token[row.token]
--- a/citronspring/tokens/restarts.py
+++ b/citronspring/tokens/restarts.py
@@ -4,13 +4,10 @@
 
 from citronspring.events import TARGET_RESTARTED
 from citronspring.light_stdlib import TYPE_CHECKING
-from citronspring.tokens.entry_updates import (
-    add_target,
-    release_token,
-    unlist_from_service,
-)
+from citronspring.tokens.entry_updates import add_target
 from citronspring.tokens.flows import close_flow
 from citronspring.tokens.messages import Log
+from citronspring.tokens.placement import release_token, unlist_from_service
 
 if TYPE_CHECKING:
     from citronspring.tokens.entries import Target
