Return nothing from functions that apply entries

Whether an entry changed anything was asked for the log of changes, which no longer depends on it. No behaviour changes; mypy and the tests of the token core and the emulator pass.

--- a/citronspring/tokens/election.py
+++ b/citronspring/tokens/election.py
@@ -217,14 +217,14 @@
 
 def apply_zone_reader(
     tables: Tables, reader: ZoneReader, actions: list[Action]
-) -> bool:
-    """Apply a zone reader's registration; return whether it changed anything."""
+) -> None:
+    """Apply a zone reader's registration, unless a newer one is known."""
     known = tables.zone_readers.get(reader.zone)
     if known is not None and known.revision >= reader.revision:
-        return False
+        return
     tables.zone_readers[reader.zone] = reader
     if reader.zone != tables.zone:
-        return True
+        return
     tables.follow.failures = 0
     tables.follow.retry_at = 0.0
     fields: dict[str, object] = {
@@ -232,18 +232,16 @@
         "revision": reader.revision,
     }
     actions.append(Log(READER_CHANGED.number, fields))
-    return True
 
 
 def remove_zone_reader(
     tables: Tables, removed: ReaderRemoved, actions: list[Action]
-) -> bool:
-    """Remove a zone reader's registration; return whether it changed anything."""
+) -> None:
+    """Remove a zone reader's registration, unless it is newer."""
     known = tables.zone_readers.get(removed.zone)
     if known is None or known.revision > removed.revision:
-        return False
+        return
     del tables.zone_readers[removed.zone]
     if removed.zone == tables.zone:
         fields: dict[str, object] = {"reader": "", "revision": removed.revision}
         actions.append(Log(READER_CHANGED.number, fields))
-    return True
--- a/citronspring/tokens/entry_updates.py
+++ b/citronspring/tokens/entry_updates.py
@@ -135,20 +135,20 @@
 
 def apply_target(
     tables: Tables, target: Target, now: float, actions: list[Action]
-) -> bool:
-    """Apply a target's entry; return whether it changed anything."""
+) -> None:
+    """Apply a target's entry, unless it is outdated."""
     row = tables.targets.get(target.target_id)
     if row is None:
         row = add_target(tables, target, actions)
         row.known_at = now
     elif is_outdated(row, target):
-        return False
+        return
     elif is_of_earlier_start(row, target):
         # Imported when an entry of an earlier start is read; most hosts never do.
         from citronspring.tokens.restarts import note_earlier_start
 
         note_earlier_start(tables, target, now)
-        return False
+        return
     elif is_of_later_start(row, target.started):
         # Imported when a target has restarted; starting a host does not need it.
         from citronspring.tokens.restarts import replace_start
@@ -157,7 +157,6 @@
         row.known_at = now
     forget_earlier_start(tables, target.target_id, target.revision)
     update_row(tables, row, target, now, actions)
-    return True
 
 
 def update_row(
@@ -220,8 +219,8 @@
 
 def apply_unreadable(
     tables: Tables, entry: Unreadable, now: float, actions: list[Action]
-) -> bool:
-    """Handle an entry that cannot be decoded; return whether it changed anything.
+) -> None:
+    """Handle an entry that cannot be decoded.
 
     The last valid entry of the target stays in effect: the target rewrites its entry
     within a heartbeat, and other programs must not be able to take its flows away. If
@@ -233,13 +232,12 @@
     if entry.shard is not None:
         from citronspring.tokens.route_history import apply_unreadable_shard
 
-        return apply_unreadable_shard(tables, entry.shard, entry.revision, now, actions)
+        apply_unreadable_shard(tables, entry.shard, entry.revision, now, actions)
+        return
     row = tables.targets.get(entry.name)
     if row is None or not is_of_later_start(row, entry.started):
-        return False
-    return remove_target(
-        tables, TargetRemoved(entry.name, entry.revision), now, actions
-    )
+        return
+    remove_target(tables, TargetRemoved(entry.name, entry.revision), now, actions)
 
 
 def add_target(tables: Tables, target: Target, actions: list[Action]) -> TargetRow:
@@ -273,16 +271,13 @@
 
 def remove_target(
     tables: Tables, removed: TargetRemoved, now: float, actions: list[Action]
-) -> bool:
-    """Remove a target's entry; its flows are still forwarded for a while.
-
-    Return whether that changed anything.
-    """
+) -> None:
+    """Remove a target's entry; its flows are still forwarded for a while."""
     row = tables.targets.get(removed.target_id)
     if row is None or row.gone_at != INFINITY:
-        return False
+        return
     if removed.revision < row.target.revision:
-        return False
+        return
     row.gone_at = now
     unlist_from_service(tables, row)
     fields: dict[str, object] = {
@@ -291,7 +286,6 @@
         "flows": row.flows,
     }
     actions.append(Log(TARGET_REMOVED.number, fields))
-    return True
 
 
 def apply_list(
--- a/citronspring/tokens/route_history.py
+++ b/citronspring/tokens/route_history.py
@@ -143,18 +143,19 @@
 
 def apply_route_history(
     tables: Tables, history: RouteHistory, now: float, actions: list[Action]
-) -> bool:
-    """Apply a shard, or services that only hosts know; return whether it was newer."""
+) -> None:
+    """Apply a shard, unless a newer one is known, or services that only hosts know."""
     if history.revision == 0:
-        return apply_unrecorded_services(tables, history, now, actions)
-    return replace_shard(tables, history, history.removed, now, actions)
+        apply_unrecorded_services(tables, history, now, actions)
+    else:
+        replace_shard(tables, history, history.removed, now, actions)
 
 
 def apply_unreadable_shard(
     tables: Tables, shard: int, revision: int, now: float, actions: list[Action]
-) -> bool:
+) -> None:
     """Apply a shard whose content cannot be decoded, and so counts as lost."""
-    return replace_shard(tables, RouteHistory(shard, {}, revision), True, now, actions)
+    replace_shard(tables, RouteHistory(shard, {}, revision), True, now, actions)
 
 
 def removed_shards(
@@ -170,9 +171,8 @@
 
 def apply_unrecorded_services(
     tables: Tables, history: RouteHistory, now: float, actions: list[Action]
-) -> bool:
-    """Remember former services that a peer knows; return whether any is new."""
-    changed = False
+) -> None:
+    """Remember former services that a peer knows."""
     for key, services in history.routes.items():
         rows = tables.route_services.get(key)
         if rows is None:
@@ -182,8 +182,6 @@
                 row = rows[service] = RouteServiceRow()
                 remember_service(tables, key, service, row, now, actions)
                 tables.route_history.routes_to_check.add(key)
-                changed = True
-    return changed
 
 
 def replace_shard(
@@ -192,8 +190,8 @@
     lost: bool,
     now: float,
     actions: list[Action],
-) -> bool:
-    """Replace what is known of a shard; return whether it was newer.
+) -> None:
+    """Replace what is known of a shard, unless that is newer.
 
     A service that is missing was forgotten by the host that wrote the shard. It was
     lost, and is kept, if ``lost`` is true or the store was restored from a backup.
@@ -201,7 +199,7 @@
     state = tables.route_history
     known = state.shards.get(history.shard)
     if known is not None and known.revision >= history.revision:
-        return False
+        return
     before: dict[int, tuple[str, ...]] = {}
     if known is not None:
         before = known.routes
@@ -214,7 +212,6 @@
             state.routes_to_check.add(key)
             if key in tables.routes:
                 mark_recorded(tables, key, services, lost, now, actions)
-    return True
 
 
 def mark_recorded(
--- a/citronspring/tokens/routes.py
+++ b/citronspring/tokens/routes.py
@@ -157,12 +157,11 @@
 
 def apply_configuration_change(
     tables: Tables, change: ConfigurationChange, now: float, actions: list[Action]
-) -> bool:
-    """Apply a difference to the current configuration; return whether it was newer.
+) -> None:
+    """Apply a difference to the current configuration, unless it is older.
 
     The caller has checked `is_applicable`.
     """
     if change.revision <= tables.configuration:
-        return False
+        return
     apply_difference(tables, change, now, actions)
-    return True
--- a/citronspring/tokens/zone_drains.py
+++ b/citronspring/tokens/zone_drains.py
@@ -12,15 +12,15 @@
     from citronspring.tokens.tables import Tables
 
 
-def apply_zone_drain(tables: Tables, drain: ZoneDrain, actions: list[Action]) -> bool:
-    """Apply the drain state of a zone; return whether it changed anything.
+def apply_zone_drain(tables: Tables, drain: ZoneDrain, actions: list[Action]) -> None:
+    """Apply the drain state of a zone, unless a newer one is known.
 
     The end of a drain is kept like its beginning. Otherwise a late answer that still
     contains the drain would leave the zone unused until it is drained again.
     """
     known = tables.zone_drains.get(drain.zone)
     if known is not None and known.revision >= drain.revision:
-        return False
+        return
     tables.zone_drains[drain.zone] = drain
     fields: dict[str, object] = {
         "zone": drain.zone,
@@ -32,7 +32,6 @@
         ),
     }
     actions.append(Log(ZONE_DRAIN_CHANGED.number, fields))
-    return True
 
 
 def missing_drains(tables: Tables, listed: set[str], revision: int) -> list[ZoneDrain]:
