--- /dev/null
+++ b/review/support_2/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the second review: store, routers, clients and servers on loopback."""
