--- a/review/4/run.py
+++ b/review/4/run.py
@@ -17,7 +17,7 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 SECONDS = 95.0
 #: New flows a second in the zone, seconds that each lives, pause between requests.
-RATE, LIFETIME, THINK = 200.0, 12.0, 3.0
+RATE, LIFETIME, THINK = 250.0, 12.0, 3.0
 #: Pause between two hosts of a roll, seconds.
 GAP = 1.2
 ROUTE = ("127.250.0.1", 443)
