Believe the token of an opening only at the start of its flow

Cause: a host without a row of a flow forwarded by any token that named a target of the route. But any target that gets an opening may answer it, and its answer sets the token that the caller returns until the flow's own target sends again. A flow that moves to another host before the caller's first packet leaves its opening unanswered at the host that placed it; that host sends it to a second and a third target after 30 and 60 ms, their answers come while the caller pauses, and the next host forwards the next request to the third target.

Evidence: the record of each of the five flows (SYN through one host, the first answer's packets through another, SYN+ACKs of two more servers, a request with the last one's token through a host without a row, RST).

Ruled out: that a leaving host's repeated openings alone are at fault. Flows move also when a host comes back or is killed, and no other host can know.

The first one of a host is masked with the sequence number, so that only packets at the start of the flow can be read. A further one names the first target as well; a later packet with it belongs to a flow that is open there. Packets after the opening carry the target's own token, which only a packet of a target that holds the flow can bring. What cannot be read is dropped, which ends no flow, where it was forwarded before.

Why it works: a caller returns the token of the last packet that it got. If that is the target's own, the target holds the flow. If it is one of an opening, the packet's sequence number tells whether the caller has gone on since.

Tests of callers of the token core now use the tokens that hosts write; the model of a link lacked the sequence number of an opening. Two tests of the process expected the opening's token in the forwarded packet, and expect the target's.

--- a/citronspring/daemons/token_host.py
+++ b/citronspring/daemons/token_host.py
@@ -258,9 +258,8 @@
 
     def forward(self, action: Forward) -> None:
         """Send a packet to its target."""
-        row = action.target
-        target = row.target
-        data = self.encode(action.packet, target.incarnation, row.token)
+        target = action.target.target
+        data = self.encode(action.packet, target.incarnation, action.token)
         self.send(data, target.endpoint)
 
     def reset(self, action: ResetCaller) -> None:
--- a/citronspring/emulator/hosts.py
+++ b/citronspring/emulator/hosts.py
@@ -347,9 +347,8 @@
 
     def forward(self, action: Forward) -> None:
         """Send a packet to a target with the expected incarnation and token."""
-        row = action.target
-        incarnation = row.target.incarnation
-        packet = with_token(action.packet, row.token)
+        incarnation = action.target.target.incarnation
+        packet = with_token(action.packet, action.token)
         target = self.targets.get(incarnation)
         self.checker.forwarded(self, target, packet)
         caller = self.callers[packet.flow]
@@ -386,7 +385,7 @@
 
 
 def with_token(packet: Packet, token: int) -> Packet:
-    """Return a packet with the token of its target."""
+    """Return a packet with another token."""
     return Packet(
         packet.flow,
         packet.route,
--- a/citronspring/platform/packets.py
+++ b/citronspring/platform/packets.py
@@ -70,8 +70,8 @@
 def encode_for_target(packet: Packet, incarnation: int, token: int) -> bytes:
     """Return the datagram that carries a packet to one incarnation of a target.
 
-    The token is written into openings; later packets already carry it because the
-    caller echoes it.
+    The token is written into openings and the packets until the target's next answer;
+    later ones already carry it because the caller echoes it.
     """
     data = packet.data
     if packet.token == token:
--- a/citronspring/tokens/entities.py
+++ b/citronspring/tokens/entities.py
@@ -15,6 +15,14 @@
 TOKEN_BITS = 32
 TOKEN_MASK = (1 << TOKEN_BITS) - 1
 
+#: Bits of the token of a further attempt that hold the sequence number.
+START_BITS = 8
+START_MASK = (1 << START_BITS) - 1
+
+#: Bits that differ between the names of first targets and those of further ones, so
+#: that a pair of targets differs from its reverse.
+FURTHER_SALT = 0x9E3779B1
+
 
 def route_key(address: int, port: int) -> int:
     """Return the key of the route for a service address.
@@ -38,6 +46,51 @@
     return (incarnation ^ incarnation >> TOKEN_BITS) & TOKEN_MASK
 
 
+def opening_token(first: int, current: int, first_seq: int) -> int:
+    """Return the token that an opening carries; `opening_tokens` tells what it says.
+
+    Parameters
+    ----------
+    first : int
+        Token of the target to which a host sent the opening first.
+    current : int
+        Token of the target to which it sends the opening now.
+    first_seq : int
+        Sequence number of the opening.
+    """
+    if first == current:
+        return current ^ mix(first_seq)
+    pair = first_name(first) ^ further_name(current)
+    return pair << START_BITS | start_check(first_seq)
+
+
+def first_name(token: int) -> int:
+    """Return 24 bits that name the first target of an opening."""
+    return mix(token) >> START_BITS
+
+
+def further_name(token: int) -> int:
+    """Return 24 bits that name the target of a further attempt."""
+    return mix(token ^ FURTHER_SALT) >> START_BITS
+
+
+def start_check(first_seq: int) -> int:
+    """Return 8 bits that tell the sequence number of an opening from most others."""
+    return mix(first_seq) & START_MASK
+
+
+def mix(value: int) -> int:
+    """Return 32 bits, each of which depends on all 32 bits of a value.
+
+    The finalizer of MurmurHash3. Any linear hash, such as a CRC, would give many pairs
+    of targets the same name if the ids count up, and hash libraries are too slow to
+    import for a host that starts.
+    """
+    value = (value ^ value >> 16) * 0x85EBCA6B & TOKEN_MASK
+    value = (value ^ value >> 13) * 0xC2B2AE35 & TOKEN_MASK
+    return value ^ value >> 16
+
+
 @record(eq=True)
 class Share:
     """A service with its weight in a route's distribution of new flows."""
--- a/citronspring/tokens/forwarding.py
+++ b/citronspring/tokens/forwarding.py
@@ -130,7 +130,7 @@
         close_flow(tables, packet.flow, flow)
         flow = None
     if flow is None or not flow.open:
-        row = tables.by_token.get(packet.token)
+        row = find_target_of_token(tables, packet, now, flow)
         if row is None:
             actions.append(Drop(packet, DropReason.UNKNOWN_TOKEN))
             return
@@ -141,7 +141,7 @@
             return
         flow = bind_flow(tables, packet, route, flow, row, now)
         if flow is None:
-            actions.append(Forward(packet, row))
+            actions.append(Forward(packet, row, row.token))
             return
     update_flow(tables, packet, flow, now)
     if tables.route_history.earlier:
@@ -150,7 +150,7 @@
     if reason_to_reset is not None:
         reset_flow(tables, packet, flow, reason_to_reset, now, actions)
         return
-    actions.append(Forward(packet, flow.target))
+    actions.append(Forward(packet, flow.target, flow.target.token))
     if packet.flags & (FIN | RST):
         close_flow(tables, packet.flow, flow)
 
@@ -167,10 +167,10 @@
     """
     if not flow.open or continues_flow(packet, flow):
         return False
-    row = tables.by_token.get(packet.token)
-    return row is not None and is_service_of_route(
-        tables, packet.route, row.target.service, now
-    )
+    row = find_target_of_token(tables, packet, now)
+    if row is None or row is flow.target:
+        return False
+    return is_service_of_route(tables, packet.route, row.target.service, now)
 
 
 def continues_flow(packet: Packet, flow: FlowRow) -> bool:
@@ -180,6 +180,22 @@
     return ahead <= 2 * MAX_IN_FLIGHT and acknowledged <= 2 * MAX_IN_FLIGHT
 
 
+def find_target_of_token(
+    tables: Tables, packet: Packet, now: float, opening: FlowRow | None = None
+) -> TargetRow | None:
+    """Return the target that a packet's token names, None if it names none.
+
+    ``opening`` is the row of its flow if that is not open yet.
+    """
+    row = tables.by_token.get(packet.token)
+    if row is not None:
+        return row
+    # Imported on first use: a starting host needs it for the second packet of a flow.
+    from citronspring.tokens.opening_tokens import find_target_of_opening
+
+    return find_target_of_opening(tables, packet, now, opening)
+
+
 def is_service_of_route(tables: Tables, route: int, service: str, now: float) -> bool:
     """Whether a route has a service, or had it and the host still remembers that."""
     row = tables.route_services[route].get(service)
--- a/citronspring/tokens/messages.py
+++ b/citronspring/tokens/messages.py
@@ -46,10 +46,11 @@
 
 @record
 class Forward:
-    """Send a packet to a target."""
+    """Send a packet to a target, with the token that its answers will carry."""
 
     packet: Packet
     target: TargetRow
+    token: int
 
 
 @record
--- /dev/null
+++ b/citronspring/tokens/opening_tokens.py
@@ -0,0 +1,110 @@
+"""Tokens of openings, which a host without a row must not believe for long.
+
+Packets after the opening carry the token of their target (`token_of`). A caller that
+returns it has got a packet from a target that holds its flow. Openings carry tokens of
+their own, as any target that gets an opening may answer it, also one that the caller
+is not bound to, and the caller returns the token of the last answer:
+
+- The first attempt of a host: the target's token, masked with the sequence number of
+  the opening. A host without a row can read it from the first packet of the flow only.
+- A further attempt: 24 bits for the first target and the one of this attempt, and 8
+  bits of the sequence number. On the first packet of the flow it names the latter. On
+  later ones it names the first target: the flow has been open there through another
+  host, and the answer to the further attempt came after that.
+"""
+
+from __future__ import annotations
+
+from citronspring.light_stdlib import TYPE_CHECKING
+from citronspring.tokens.entities import (
+    START_BITS,
+    START_MASK,
+    TOKEN_MASK,
+    first_name,
+    further_name,
+    mix,
+    opening_token,
+    start_check,
+)
+
+if TYPE_CHECKING:
+    from citronspring.tokens.entities import Packet
+    from citronspring.tokens.rows import FlowRow, TargetRow
+    from citronspring.tokens.tables import Tables
+
+#: Largest number of targets of a route among which a pair is searched. Two pairs of 256
+#: targets have the same 24 bits in 0.4% of cases.
+MAX_SEARCHED_TARGETS = 256
+
+#: Seconds after an opening in which packets may have overtaken the flow's first one.
+#: Later, only flows that have been open through another host lack a first packet.
+START_LIFETIME = 0.2
+
+
+def find_target_of_opening(
+    tables: Tables, packet: Packet, now: float, opening: FlowRow | None = None
+) -> TargetRow | None:
+    """Return the target that the token of an opening names, None if it names none.
+
+    Parameters
+    ----------
+    tables : Tables
+        All state.
+    packet : Packet
+        A packet after the opening.
+    now : float
+        Current time in seconds.
+    opening : FlowRow, optional
+        The row of its flow, if this host has sent the opening and no packet has shown
+        yet to which target the caller is bound.
+    """
+    first_seq = packet.seq - 1 & TOKEN_MASK
+    if opening is not None:
+        if now - opening.first_sent_at < START_LIFETIME:
+            first_seq = opening.first_seq
+        row = find_tried_target(packet, first_seq, opening)
+        if row is not None:
+            return row
+    row = tables.by_token.get(packet.token ^ mix(first_seq))
+    if row is not None:
+        return row
+    return find_target_of_pair(tables, packet, first_seq)
+
+
+def find_tried_target(
+    packet: Packet, first_seq: int, opening: FlowRow
+) -> TargetRow | None:
+    """Return the target that a token names by the attempts of this host."""
+    for row in opening.tried:
+        first = opening.tried[0]
+        token = opening_token(first.token, row.token, opening.first_seq)
+        if packet.token == token:
+            if first_seq == opening.first_seq:
+                return row
+            return first if row is not first else None
+    return None
+
+
+def find_target_of_pair(
+    tables: Tables, packet: Packet, first_seq: int
+) -> TargetRow | None:
+    """Return the target that the token of another host's further attempt names."""
+    pair = packet.token >> START_BITS
+    rows = [
+        row
+        for service in tables.route_services.get(packet.route, ())
+        for row in tables.by_service.get(service, ())
+    ]
+    if len(rows) > MAX_SEARCHED_TARGETS:
+        return None
+    firsts = {first_name(row.token): row for row in rows}
+    found = []
+    for current in rows:
+        first = firsts.get(pair ^ further_name(current.token))
+        if first is not None and first is not current:
+            found.append((first, current))
+    if len(found) != 1:
+        return None
+    ((first, current),) = found
+    at_start = packet.token & START_MASK == start_check(first_seq)
+    return current if at_start else first
--- a/citronspring/tokens/openings.py
+++ b/citronspring/tokens/openings.py
@@ -10,6 +10,7 @@
     heappush,
 )
 from citronspring.tokens.admission import current_delay, is_admitted
+from citronspring.tokens.entities import opening_token
 from citronspring.tokens.evidence import note_timeout
 from citronspring.tokens.flows import close_flow, expect_request, start_flow
 from citronspring.tokens.messages import (
@@ -78,7 +79,7 @@
         # get no new opening now.
         actions.append(Drop(packet, DropReason.ZONE_DRAINED))
     elif flow.open:
-        actions.append(Forward(packet, flow.target))
+        actions.append(Forward(packet, flow.target, flow.target.token))
     elif now - flow.first_sent_at >= OPENING_ANSWER_TIMEOUT:
         note_timeout(tables, flow.target, flow.first_sent_at, now)
         place_opening(tables, packet, route, flow, now, actions)
@@ -87,7 +88,8 @@
     else:
         # Retransmissions that were queued together; the first one cannot have been
         # answered yet.
-        actions.append(Forward(packet, flow.target))
+        token = opening_token(flow.tried[0].token, flow.target.token, packet.seq)
+        actions.append(Forward(packet, flow.target, token))
 
 
 def place_opening(
@@ -123,7 +125,9 @@
     if flow is not None:
         await_opening_answer(tables, packet, flow, now)
     note_placed(target, now)
-    actions.append(Forward(packet, target))
+    first = tried[0] if tried else target
+    token = opening_token(first.token, target.token, packet.seq)
+    actions.append(Forward(packet, target, token))
 
 
 def passes_admission(
--- a/tests/test_platform/test_process.py
+++ b/tests/test_platform/test_process.py
@@ -13,6 +13,7 @@
 
 import pytest
 
+from citronspring.tokens.entities import token_of
 from tests.test_platform.process import (
     ACK,
     COPIES,
@@ -26,16 +27,20 @@
 )
 from tests.test_platform.test_store import CONFIGURATION, ROUTE, TARGET
 
+#: Incarnation of the target, and the token that packets after an opening carry.
+INCARNATION = 0x2EA29917B4
+TARGET_TOKEN = token_of(INCARNATION)
+
 
 def test_forwards_an_opening_and_then_by_its_token(serving):
     serving.send(packet(SYN))
     opening = serving.target.recv(2048)
-    assert opening[:8] == (0x2EA29917B4).to_bytes(8, "big")
+    assert opening[:8] == INCARNATION.to_bytes(8, "big")
     token = struct.unpack(">I", opening[17:21])[0]
     assert token
-    data = packet(ACK, seq=2, ack=5, token=token, payload=b"GET")
-    serving.send(data)
-    assert serving.target.recv(2048)[8:] == data
+    first = {"seq": 2, "ack": 5, "payload": b"GET"}
+    serving.send(packet(ACK, token=token, **first))
+    assert serving.target.recv(2048)[8:] == packet(ACK, token=TARGET_TOKEN, **first)
 
 
 def test_is_ready_only_once_it_knows_a_configuration(host):
@@ -175,10 +180,11 @@
     (line,) = eventually(lambda: serving.logged("packet-dropped"))
     names = line["reason"], line["route"], line["service"]
     assert names == ("foreign-token", "r-1", "other")
-    data = packet(ACK, seq=2, ack=5, token=token, payload=b"GET")
-    serving.send(data)
+    first = {"seq": 2, "ack": 5, "payload": b"GET"}
+    serving.send(packet(ACK, token=token, **first))
+    forwarded = packet(ACK, token=TARGET_TOKEN, **first)
     # Copies of the unanswered opening may still be queued.
-    eventually(lambda: serving.target.recv(2048)[8:] == data)
+    eventually(lambda: serving.target.recv(2048)[8:] == forwarded)
 
 
 def test_bad_settings_end_the_process_with_a_remedy(tmp_path):
--- a/tests/test_tokens/driver.py
+++ b/tests/test_tokens/driver.py
@@ -5,7 +5,7 @@
 from citronspring.endpoints import Endpoint
 from citronspring.tcp_flags import ACK, FIN, SYN
 from citronspring.tokens.balancer import TokenBalancer
-from citronspring.tokens.entities import Packet, Route, Share, route_key, token_of
+from citronspring.tokens.entities import Packet, Route, Share, route_key
 from citronspring.tokens.entries import Configuration, Target, TargetRemoved, Unreadable
 from citronspring.tokens.messages import (
     Changes,
@@ -159,11 +159,16 @@
         self.seq = 1000 * port
         self.ack = 0
         self.token = 0
+        #: Token that the next packet of the flow's target carries.
+        self.answer_token = 0
 
     def send(self, flags, length=0, seq=None):
         seq = self.seq if seq is None else seq
         packet = Packet(self.flow, self.route, flags, self.token, seq, self.ack, length)
-        return self.driver.receive(packet)
+        action = self.driver.receive(packet)
+        if isinstance(action, Forward):
+            self.answer_token = action.token
+        return action
 
     def open(self):
         """Send the opening; return the action."""
@@ -173,12 +178,12 @@
         """Open the flow at the target that the host chose; return its row."""
         action = self.open()
         assert isinstance(action, Forward), action
-        self.finish_handshake(action.target)
+        self.finish_handshake(action)
         return action.target
 
-    def finish_handshake(self, row):
-        """Receive a target's answer to the opening and acknowledge it."""
-        self.token = token_of(row.target.incarnation)
+    def finish_handshake(self, opening):
+        """Receive a target's answer to a forwarded opening and acknowledge it."""
+        self.token = opening.token
         self.seq += 1
         self.ack = 5001
         return self.send(ACK)
@@ -195,6 +200,7 @@
 
     def acknowledge_answer(self, length=900):
         """Acknowledge an answer of the target."""
+        self.token = self.answer_token
         self.ack += length
         return self.send(ACK)
 
--- a/tests/test_tokens/test_inquiry.py
+++ b/tests/test_tokens/test_inquiry.py
@@ -98,8 +98,8 @@
         driver = self.hosts[address]
         caller = driver.caller(port, route)
         row = driver.tables.targets[f"i-{CRASHED:x}"]
-        caller.open()
-        caller.finish_handshake(row)
+        opening = caller.open()
+        caller.finish_handshake(Forward(opening.packet, row, row.token))
         caller.ack = 5001
         return caller
 
--- a/tests/test_tokens/test_load/link_model.py
+++ b/tests/test_tokens/test_load/link_model.py
@@ -4,7 +4,7 @@
 from itertools import count
 
 from citronspring.tcp_flags import ACK, FIN, SYN
-from citronspring.tokens.entities import Packet, token_of
+from citronspring.tokens.entities import Packet
 from citronspring.tokens.messages import Forward
 
 #: Bytes of a packet's headers and its largest payload; packets in flight.
@@ -62,7 +62,8 @@
     def connect(self, action):
         self.admitted = isinstance(action, Forward)
         if self.admitted:
-            self.caller.token = token_of(action.target.target.incarnation)
+            self.caller.token = action.token
+            self.caller.seq += 1
             self.model.after(ROUND_TRIP, self.send_window)
 
     def send_window(self, acknowledged=0):
--- a/tests/test_tokens/test_load/test_host_capacity.py
+++ b/tests/test_tokens/test_load/test_host_capacity.py
@@ -70,7 +70,7 @@
         if isinstance(action, ResetCaller):
             assert reason_of(action) is ResetReason.HOST_BUSY
             break
-        caller.finish_handshake(action.target)
+        caller.finish_handshake(action)
         callers.append(caller)
     return callers
 
--- a/tests/test_tokens/test_openings.py
+++ b/tests/test_tokens/test_openings.py
@@ -55,11 +55,11 @@
     """
     driver = Driver(make_target(1), make_target(2))
     caller = driver.caller(1)
-    first = caller.open().target
+    first = caller.open()
     (second,) = driver.wait(0.035)
     caller.finish_handshake(first)
-    caller.token = second.target.token
-    assert caller.send_request().target is first
+    caller.token = second.token
+    assert caller.send_request().target is first.target
     assert second.target.flows == 0
 
 
--- a/tests/test_tokens/test_zones.py
+++ b/tests/test_tokens/test_zones.py
@@ -14,7 +14,7 @@
     actions = [first]
     for _ in range(3):
         if actions and actions[-1].target.target.zone == "north":
-            caller.finish_handshake(actions[-1].target)
+            caller.finish_handshake(actions[-1])
             break
         actions += driver.wait(0.031)
     return target_of(first)
@@ -123,7 +123,7 @@
         caller = driver.caller(1)
         crashed = target_of(caller.open())
         (second,) = driver.wait(0.031)
-        caller.finish_handshake(second.target)
+        caller.finish_handshake(second)
         others = {target_of(driver.caller(port).open()) for port in range(2, 6)}
         assert crashed not in others
         assert driver.tables.zones["south"].suspect_until <= driver.now
