Read the other entries when one is nested too deeply and invalid

What operators saw (a report of another system): one odd entry among those of the servers ends the machines that read the list, or they stop following it. Here, an entry nested some 990 deep with anything but white space behind it makes each list and watch that contains it unreadable: running hosts learn of no change, starting ones do not become ready.

Cause: if the scanner can just read the nesting and the end of the text is wrong, the standard module reads the text again for its error message, some calls deeper, and raises RecursionError, which only the first reading turned into ValueError. It left the decoder of the entry and counted as an error of the whole answer, which hosts ask for again.

Evidence: all nestings from 100 to 1,100 with four endings at every decoder: four depths fail, at loads and decode_entry.

Change: loads guards both readings, and decode_item takes every error of decoding a value for an unreadable entry. Why it works: the list of errors that decoders expect stands once, and nothing else of an item is written by others.

--- a/citronspring/json_text.py
+++ b/citronspring/json_text.py
@@ -110,13 +110,18 @@
         if not isinstance(text, str):
             text = bytes(text).decode()
         text = text.strip(WHITESPACE)
+        try:
+            return scan_or_raise(text)
+        except RecursionError as error:
+            raise ValueError("the value is nested too deeply") from error
+
+    def scan_or_raise(text):
+        """Return the value in a text; also the error of an invalid one may recurse."""
         try:
             value, end = scan(text, 0)
         except (StopIteration, SystemError):
             # Without the standard module the scanner cannot report what is wrong.
             end = None
-        except RecursionError as error:
-            raise ValueError("the value is nested too deeply") from error
         if end != len(text):
             return parse_with_json_module(text)
         return value
--- a/citronspring/platform/packets.py
+++ b/citronspring/platform/packets.py
@@ -70,12 +70,10 @@
 def encode_for_target(packet: Packet, incarnation: int, token: int) -> bytes:
     """Return the datagram that carries a packet to one incarnation of a target.
 
-    The token is written into openings and the packets until the target's next answer;
-    later ones already carry it because the caller echoes it.
+    The token is written unless the caller echoes it already, as in most packets.
     """
     data = packet.data
     if packet.token == token:
-        # Nearly every packet already carries the token.
         return INCARNATION.pack(incarnation) + data
     head, tail = data[:TOKEN_OFFSET], data[TOKEN_OFFSET + TOKEN.size :]
     return INCARNATION.pack(incarnation) + head + TOKEN.pack(token) + tail
--- a/citronspring/platform/store.py
+++ b/citronspring/platform/store.py
@@ -169,7 +169,8 @@
     try:
         value = a2b_base64(item["value"])
         return decode_entry(key, value, revision)
-    except (StoredValueError, ValueError) as error:
+    except (StoredValueError, *DECODE_ERRORS) as error:
+        # Raised further, it would make the whole answer unreadable, again and again.
         name = key.removeprefix(TARGET_PREFIX)
         return Unreadable(name, str(error), revision, decode_start_leniently(value))
 
--- a/tests/test_platform/foreign.py
+++ b/tests/test_platform/foreign.py
@@ -88,7 +88,7 @@
         action = host.caller(port).open()
         if isinstance(action, Forward):
             target = action.target.target
-            encode_for_target(action.packet, target.incarnation, action.target.token)
+            encode_for_target(action.packet, target.incarnation, action.token)
             pack_address(target.endpoint)
     for reader in host.tables.zone_readers.values():
         pack_address(reader.endpoint)
