Refuse targets at addresses that no machine can have

What callers saw: nothing at once; callers of dead targets wait. One entry of another writer with the address 255.255.255.255 or 224.0.0.1 gets its share of the openings, each of which the kernel refuses to send.

Cause: a failed send is a disturbance of the host's own path, during which no target counts as unresponsive. decode_target checked the form of an address only, and ports were read by int, which also takes signs, spaces, underscores and digits of other scripts.

Evidence: a real process with such an entry counted 40 send errors in 40 openings; local_path_works is false until after the last of them. Nine of the fifteen addresses of the new test were accepted before.

Change: check_target, which entries of the store and answers of hosts pass, wants a unicast address; parse_port wants ASCII digits.

The test of a process among odd entries counted a line of the process before the restart; it now waits for a new one.

Measured: the tests of the adapter pass three times in a row.

--- a/citronspring/addresses.py
+++ b/citronspring/addresses.py
@@ -7,6 +7,9 @@
 #: Octets of an IPv4 address by their notation.
 OCTETS = {str(octet): octet for octet in range(256)}
 
+#: First octet from which addresses are multicast, reserved or broadcast.
+FIRST_MULTICAST_OCTET = 224
+
 #: Largest port number.
 MAX_PORT = 65535
 
@@ -24,13 +27,21 @@
 
 
 def parse_port(text: str) -> int:
-    """Return a port number; raises ValueError if it is invalid."""
-    port = int(text)
+    """Return a port number; raises ValueError if it is invalid.
+
+    `int` alone would also read signs, spaces, underscores and digits of any script.
+    """
+    port = int(text) if text.isascii() and text.isdigit() else 0
     if not 0 < port <= MAX_PORT:
         raise ValueError(f"{text!r:.40} is not a port number")
     return port
 
 
+def is_unicast(ip: str) -> bool:
+    """Whether an IPv4 address can belong to a machine."""
+    return 0 < OCTETS[ip.partition(".")[0]] < FIRST_MULTICAST_OCTET
+
+
 def parse_endpoint(text: str) -> Endpoint:
     """Parse ``ip:port``; raises ValueError if it is invalid."""
     ip, _, port = text.rpartition(":")
--- a/citronspring/tokens/entries.py
+++ b/citronspring/tokens/entries.py
@@ -14,6 +14,7 @@
 
 from __future__ import annotations
 
+from citronspring.addresses import is_unicast
 from citronspring.light_stdlib import TYPE_CHECKING
 from citronspring.records import record
 
@@ -142,6 +143,8 @@
     """
     if not 0 < target.incarnation <= MAX_INCARNATION:
         raise ValueError(f"incarnation {target.incarnation} is 0 or exceeds 8 bytes")
+    if not is_unicast(target.endpoint.ip):
+        raise ValueError(f"no server has the address {target.endpoint.ip}")
     if not 0 < target.slots <= MAX_SLOTS:
         raise ValueError(f"slots out of range: {target.slots}")
     if not 0.0 <= target.warmup <= MAX_WARMUP:
--- a/tests/test_platform/test_odd_entries.py
+++ b/tests/test_platform/test_odd_entries.py
@@ -27,7 +27,10 @@
 TAILS = (" x", "]", ",", "")
 
 #: Addresses with a port that no server can listen at.
-ODD_PORTS = ("0", "65536", "70000", "-1", "9" * 400, "")
+ODD_PORTS = ("0", "65536", "70000", "-1", "9" * 400, "", "8_0", "+80", " 80", "٨٠")
+
+#: Addresses that no server has: unspecified, multicast, reserved, broadcast.
+ODD_ADDRESSES = ("0.0.0.0", "0.1.2.3", "224.0.0.1", "240.0.0.1", "255.255.255.255")
 
 
 def nested(depth, tail=""):
@@ -55,11 +58,21 @@
     assert {type(entry).__name__ for entry in odd} == {"Unreadable"}
 
 
-@pytest.mark.parametrize("port", ODD_PORTS)
-def test_port_out_of_range_names_no_target(port):
-    """A datagram to it raises an error that no sender expects."""
+@pytest.mark.parametrize(
+    "address",
+    [
+        *(f"10.0.0.1:{port}" for port in ODD_PORTS),
+        *(f"{ip}:80" for ip in ODD_ADDRESSES),
+    ],
+)
+def test_address_that_no_server_has_names_no_target(address):
+    """A datagram to it raises an error, or reaches the host itself.
+
+    Failed sends count as disturbances of the host's own path, during which it takes no
+    target for dead.
+    """
     host = make_host()
-    odd = json.dumps({**NEW_TARGET, "addr": f"10.0.0.1:{port}"})
+    odd = json.dumps({**NEW_TARGET, "addr": address})
     deliver(host, ("servers/i-aa", odd), ("servers/i-1", odd))
     deliver(host, ("servers/i-c0ffee", json.dumps(NEW_TARGET)))
     use(host)
@@ -89,8 +102,9 @@
     serving.process.wait()
     serving.start(serving.store_port)
     eventually(lambda: serving.status() == 200)
+    known = len(serving.logged("target-changed"))
     serving.configure()
-    eventually(lambda: serving.logged("target-changed"))
+    eventually(lambda: len(serving.logged("target-changed")) > known)
     serving.send(packet(SYN))
     assert serving.target.recv(2048)
     assert serving.process.poll() is None
