Send no opening again by itself from a leaving host

Cause: an opening without a later packet of its flow counts as unanswered after 30 ms, and goes to another target. Routers take a host that got SIGTERM out of rotation at any moment, so that the packets which would show the answer go elsewhere. The other target answers a flow that is open at the first, holds it half open, and the first counts as unresponsive. Of the decisions that rest on packets this is the only one that is made without one arriving: time-outs by retransmission need the retransmission.

Change: from its signal on a host neither sends openings again by itself nor counts them as time-outs. A copy from the caller still goes to another target: it shows that no answer has arrived.

--- a/citronspring/tokens/openings.py
+++ b/citronspring/tokens/openings.py
@@ -314,7 +314,12 @@
 
 
 def unanswered_openings(tables: Tables, now: float) -> list[bytes]:
-    """Return the flows whose openings are unanswered, and record the time-outs."""
+    """Return the flows whose openings are unanswered, and record the time-outs.
+
+    A leaving host returns and records none. Routers send the packets that follow an
+    opening to other hosts at any moment, so their absence shows nothing; a second
+    target would only answer a flow that is open at the first.
+    """
     overdue = []
     deadlines = tables.opening_deadlines
     while deadlines and deadlines[0][0] <= now:
@@ -322,6 +327,8 @@
         flow = tables.flows.get(key)
         if flow is None or flow.open or now - deadline > MAX_TIMER_DELAY:
             continue
+        if tables.leave_deadline is not None:
+            continue
         if flow.first_sent_at > deadline - OPENING_ANSWER_TIMEOUT:
             # It was retransmitted since; that opening has its own deadline.
             continue
--- a/tests/test_tokens/test_leaving.py
+++ b/tests/test_tokens/test_leaving.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from citronspring.tokens.messages import Forward
-from tests.test_tokens.driver import Driver, make_target
+from tests.test_tokens.driver import Driver, make_target, target_of
 
 
 def test_forwards_while_routers_still_send():
@@ -22,6 +22,29 @@
     assert not driver.core.may_stop(driver.now)
 
 
+def test_leaving_host_sends_no_opening_again():
+    """Routers take it out of rotation while an opening is under way.
+
+    The flow opens through another host. A second target would answer it too, and the
+    first would count as unresponsive.
+    """
+    driver = Driver(make_target(1), make_target(2))
+    row = driver.caller(1).open().target
+    driver.core.leave(driver.now + 5.0, driver.now)
+    assert driver.wait(0.1) == []
+    assert row.timeouts == 0
+
+
+def test_leaving_host_sends_a_callers_repeated_opening_elsewhere():
+    """The copy shows that the first target has not answered."""
+    driver = Driver(make_target(1), make_target(2))
+    caller = driver.caller(1)
+    first = target_of(caller.open())
+    driver.core.leave(driver.now + 5.0, driver.now)
+    driver.wait(0.2)
+    assert target_of(caller.open()) != first
+
+
 def test_stops_once_it_is_quiet():
     driver = Driver(make_target(1))
     driver.core.leave(driver.now + 5.0, driver.now)
