Give openings a row when the table of flows is full

Cause: an opening beyond 50,000 rows got none. Its copy was placed like a new flow, mostly at a second target, and the caller returned the token of whichever had answered last. What a host without a row can believe of such a token is not enough for the second request.

Change: an opening at a full table takes the place of idle flows, the oldest of 256 rows at a time: open ones without a request under way, and openings that no caller repeats any more. Flows that lose their row go by the target's own token, as they do at any other host, and get a row again if there is room.

Why it works: since openings carry tokens of their own, a flow that has had an answer can do without a row, and one that has had none cannot.

--- a/citronspring/tokens/flows.py
+++ b/citronspring/tokens/flows.py
@@ -22,6 +22,12 @@
 #: 200 ms, and one that has closed its flow sends nothing of it any more.
 COPY_LIFETIME = 0.5
 
+#: Number of the oldest rows, of which a full table gives up those of idle flows.
+EVICTION_BATCH = 256
+
+#: Seconds after which no caller repeats an opening any more.
+OPENING_LIFETIME = 2.0
+
 #: Interval in seconds between two passes that remove expired rows.
 SWEEP_INTERVAL = 1.0
 
@@ -31,8 +37,8 @@
 ) -> FlowRow | None:
     """Create the row of a flow; return None if the table is full.
 
-    A flow without a row is forwarded all the same. It only lacks the retry of its
-    opening at another target, and it adds no evidence about its target.
+    A flow without a row is forwarded all the same once its caller returns the target's
+    own token; it only adds no evidence about its target.
     """
     if len(tables.flows) >= MAX_FLOWS:
         tables.counters["flows-without-row"] += 1
@@ -51,6 +57,23 @@
     return flow
 
 
+def make_room(tables: Tables, now: float) -> None:
+    """Remove rows that are needed least if the table is full, so that one may start.
+
+    An opening needs its row: by it, copies of the opening and what answers them are
+    told from a new flow. Without one, a copy goes to a second target, and the caller's
+    packets are forwarded to the target that has answered last.
+    """
+    if len(tables.flows) < MAX_FLOWS:
+        return
+    rows = zip(range(EVICTION_BATCH), tables.flows.items(), strict=False)
+    for key, flow in [row for _, row in rows]:
+        abandoned = now - flow.first_sent_at > OPENING_LIFETIME
+        if not flow.busy and (flow.open or abandoned):
+            tables.counters["rows-evicted"] += 1
+            close_flow(tables, key, flow)
+
+
 def touch_flow(tables: Tables, flow: FlowRow, now: float) -> None:
     """Extend the lifetime of a flow's row by the idle timeout."""
     flow.expires_at = now + tables.idle_timeout
--- a/citronspring/tokens/openings.py
+++ b/citronspring/tokens/openings.py
@@ -12,7 +12,12 @@
 from citronspring.tokens.admission import current_delay, is_admitted
 from citronspring.tokens.entities import opening_token
 from citronspring.tokens.evidence import note_timeout
-from citronspring.tokens.flows import close_flow, expect_request, start_flow
+from citronspring.tokens.flows import (
+    close_flow,
+    expect_request,
+    make_room,
+    start_flow,
+)
 from citronspring.tokens.messages import (
     Drop,
     DropReason,
@@ -117,6 +122,7 @@
         return
     log_placement(tables, packet, route, target, len(tried), now, actions)
     if flow is None:
+        make_room(tables, now)
         flow = start_flow(tables, packet, route, target, now)
         if flow is not None and tables.link_rate < INFINITY:
             expect_request(tables, packet.flow, flow, now)
--- a/tests/test_tokens/test_openings.py
+++ b/tests/test_tokens/test_openings.py
@@ -192,6 +192,72 @@
     assert len(driver.tables.flows) == 1
 
 
+def full_host(monkeypatch, flows):
+    """Return a host that keeps few rows, and callers with flows that fill its table."""
+    monkeypatch.setattr("citronspring.tokens.flows.MAX_FLOWS", flows)
+    driver = Driver(*(make_target(number) for number in range(1, 4)))
+    callers = [driver.caller(port) for port in range(1, flows + 1)]
+    for caller in callers:
+        caller.connect()
+        caller.send_request()
+        caller.acknowledge_answer()
+    return driver, callers
+
+
+def test_flow_that_a_full_host_opens_stays_on_its_target(monkeypatch):
+    """An answer to an opening is lost, and its target repeats it; so does the caller.
+
+    Without a row the copy was a new flow at a second target. Its answer was the
+    last one, and the second target reset the next request.
+    """
+    driver, _ = full_host(monkeypatch, 4)
+    caller = driver.caller(9)
+    first = caller.open()
+    driver.now += 0.2
+    second = caller.open()
+    assert second.target is not first.target
+    caller.finish_handshake(first)
+    caller.send_request()
+    caller.acknowledge_answer()
+    caller.token = second.token
+    assert caller.send_request().target is first.target
+
+
+def test_flow_whose_row_a_full_host_removed_goes_on(monkeypatch):
+    driver, callers = full_host(monkeypatch, 4)
+    targets = [caller.send_request().target for caller in callers]
+    for caller in callers:
+        caller.acknowledge_answer()
+    driver.caller(9).open()
+    assert len(driver.tables.flows) < 4
+    assert [caller.send_request().target for caller in callers] == targets
+    assert len(driver.tables.flows) <= 4
+
+
+def test_full_host_keeps_rows_of_requests_and_of_fresh_openings(monkeypatch):
+    """Each is needed to tell that a target does not answer."""
+    driver, callers = full_host(monkeypatch, 4)
+    for caller in callers[:3]:
+        caller.send_request()
+    driver.caller(9).open()
+    driver.caller(10).open()
+    assert driver.tables.counters["rows-evicted"] == 1
+    assert all(caller.flow in driver.tables.flows for caller in callers[:3])
+    assert driver.caller(9).flow in driver.tables.flows
+
+
+def test_full_host_drops_abandoned_openings(monkeypatch):
+    """A flood of openings whose callers never answer leaves room for others."""
+    monkeypatch.setattr("citronspring.tokens.flows.MAX_FLOWS", 4)
+    driver = Driver(make_target(1))
+    for port in range(4):
+        driver.caller(port).open()
+    driver.wait(3.0)
+    caller = driver.caller(9)
+    caller.open()
+    assert caller.flow in driver.tables.flows
+
+
 def test_opening_that_was_queued_during_a_stall_is_not_placed():
     """A host stalls for seconds with an opening in its socket's queue, then resumes.
 
