Move refusals of openings to a module of their own

They are imported with the first refusal. The two tests of whether a new opening is admitted stand in one function. No behaviour changes; the tests of the token core and of the start pass.

--- a/citronspring/tokens/forwarding.py
+++ b/citronspring/tokens/forwarding.py
@@ -30,11 +30,7 @@
     ResetCaller,
     ResetReason,
 )
-from citronspring.tokens.openings import (
-    move_flow,
-    receive_opening,
-    refuse_opening,
-)
+from citronspring.tokens.openings import move_flow, receive_opening
 
 if TYPE_CHECKING:
     from citronspring.tokens.entities import Packet, Route
@@ -106,6 +102,9 @@
     if not packet.flags & SYN:
         actions.append(Drop(packet, DropReason.NO_ROUTE))
     elif current:
+        # Imported on first use: a starting host forwards openings.
+        from citronspring.tokens.refusals import refuse_opening
+
         refuse_opening(packet, ResetReason.NO_ROUTE, actions)
     else:
         actions.append(Drop(packet, DropReason.NOT_CURRENT))
--- a/citronspring/tokens/openings.py
+++ b/citronspring/tokens/openings.py
@@ -1,8 +1,8 @@
-"""New flows: placing openings, retrying unanswered ones elsewhere, refusing them."""
+"""New flows: placing openings, and retrying unanswered ones elsewhere."""
 
 from __future__ import annotations
 
-from citronspring.events import OPENING_PLACED, OPENING_REFUSED
+from citronspring.events import OPENING_PLACED
 from citronspring.light_stdlib import (
     INFINITY,
     TYPE_CHECKING,
@@ -23,15 +23,12 @@
     DropReason,
     Forward,
     Log,
-    ResetCaller,
-    ResetReason,
 )
 from citronspring.tokens.placement import (
     choose_service,
     choose_target,
     count_load,
     note_placed,
-    only_in_drained_zones,
 )
 
 if TYPE_CHECKING:
@@ -108,15 +105,14 @@
     """Choose a target for an opening and forward it."""
     tried = flow.tried if flow is not None else []
     service = choose_service(route, packet.seq)
-    if flow is None and not passes_admission(tables, packet, route, service, now):
-        refuse_overload(tables, packet, route, service, now, actions)
-        return
-    if flow is None and not passes_host_capacity(tables, packet, route, service, now):
-        refuse_host_busy(tables, packet, route, service, now, actions)
+    if flow is None and refuse_if_full(tables, packet, route, service, now, actions):
         return
     target = find_target(tables, route, service, tried, now)
     if target is None:
         if not tried:
+            # Imported on first use: a starting host forwards openings.
+            from citronspring.tokens.refusals import refuse_without_target
+
             refuse_without_target(tables, packet, route, service, now, actions)
         # A target that was tried and is leaving may still answer.
         return
@@ -136,6 +132,26 @@
     actions.append(Forward(packet, target, token))
 
 
+def refuse_if_full(
+    tables: Tables,
+    packet: Packet,
+    route: Route,
+    service: str | None,
+    now: float,
+    actions: list[Action],
+) -> bool:
+    """Refuse a new opening that targets or the host's own link have no room for."""
+    admitted = passes_admission(tables, packet, route, service, now)
+    if admitted and passes_host_capacity(tables, packet, route, service, now):
+        return False
+    # Imported on first use: a starting host forwards openings.
+    from citronspring.tokens.refusals import refuse_host_busy, refuse_overload
+
+    refuse = refuse_host_busy if admitted else refuse_overload
+    refuse(tables, packet, route, service, now, actions)
+    return True
+
+
 def passes_admission(
     tables: Tables, packet: Packet, route: Route, service: str | None, now: float
 ) -> bool:
@@ -223,92 +239,6 @@
     actions.append(Log(OPENING_PLACED.number, fields))
 
 
-def refuse_opening(
-    packet: Packet, reason: ResetReason, actions: list[Action], **inputs: object
-) -> None:
-    """Reset an opening that was sent to no target, so that nothing has run.
-
-    ``inputs`` are logged beside the reason.
-    """
-    actions.append(ResetCaller(packet, reason))
-    fields = {"flow": packet.flow, "reason": reason.value, **inputs}
-    actions.append(Log(OPENING_REFUSED.number, fields))
-
-
-def refuse_without_target(
-    tables: Tables,
-    packet: Packet,
-    route: Route,
-    service: str | None,
-    now: float,
-    actions: list[Action],
-) -> None:
-    """Refuse an opening for which no target is available, and log the cause."""
-    reason = ResetReason.NO_TARGET
-    if service is not None and only_in_drained_zones(tables, service):
-        reason = ResetReason.ZONE_DRAINED
-    refuse_opening(
-        packet,
-        reason,
-        actions,
-        route=route.name,
-        service=service,
-        drained=tables.drained_zones,
-        age=round(now - tables.reader.current_at, 3),
-    )
-
-
-def refuse_overload(
-    tables: Tables,
-    packet: Packet,
-    route: Route,
-    service: str | None,
-    now: float,
-    actions: list[Action],
-) -> None:
-    """Refuse an opening whose request would miss its objective, and log the cause."""
-    delay = current_delay(tables, service, now) if service is not None else 0.0
-    refuse_opening(
-        packet,
-        ResetReason.OVERLOADED,
-        actions,
-        route=route.name,
-        service=service,
-        delay=round(delay, 3),
-        objective=route.objective,
-        priority=route.priority,
-        configuration=tables.configuration,
-    )
-
-
-def refuse_host_busy(
-    tables: Tables,
-    packet: Packet,
-    route: Route,
-    service: str | None,
-    now: float,
-    actions: list[Action],
-) -> None:
-    """Refuse an opening for which the host's link has no room, and log the cause."""
-    from citronspring.tokens.load.host_capacity import expected_size
-    from citronspring.tokens.load.link_usage import describe_link
-
-    refuse_opening(
-        packet,
-        ResetReason.HOST_BUSY,
-        actions,
-        route=route.name,
-        service=service,
-        usual_size=expected_size(tables, route),
-        expected_bytes=tables.uploads.remaining,
-        in_flight=tables.uploads.in_flight,
-        **describe_link(tables, now),
-        objective=route.objective if route.objective < INFINITY else None,
-        priority=route.priority,
-        configuration=tables.configuration,
-    )
-
-
 def await_opening_answer(
     tables: Tables, packet: Packet, flow: FlowRow, now: float
 ) -> None:
