--- a/deploy/bundle.py
+++ b/deploy/bundle.py
@@ -9,8 +9,13 @@
 
 from citronspring import bundles, records  # noqa: E402
 
-#: Modules that a host imports; they import all the others.
-HOST_MODULES = ("citronspring.platform.__main__", "citronspring.daemons.token_host")
+#: Modules that a host imports, the last one with the first flow that it opens; they
+#: import all the others.
+HOST_MODULES = (
+    "citronspring.platform.__main__",
+    "citronspring.daemons.token_host",
+    "citronspring.tokens.opening_tokens",
+)
 
 
 def compile_modules() -> dict:
