--- a/citronspring/tokens/opening_tokens.py
+++ b/citronspring/tokens/opening_tokens.py
@@ -32,8 +32,8 @@
     from citronspring.tokens.rows import FlowRow, TargetRow
     from citronspring.tokens.tables import Tables
 
-#: Largest number of targets of a route among which a pair is searched. Two pairs of 256
-#: targets have the same 24 bits in 0.4% of cases.
+#: Largest number of targets of a route among which a pair is searched. With that many,
+#: 0.4% of the pairs share their 24 bits with another pair.
 MAX_SEARCHED_TARGETS = 256
 
 #: Seconds after an opening in which packets may have overtaken the flow's first one.
