--- a/soak/writers.py
+++ b/soak/writers.py
@@ -24,6 +24,10 @@
     r'"\ud800"',
     f'"{"x" * 20_000}"',
     "[" * 5000 + "]" * 5000,
+    # Nested as deeply as can just be read, and invalid behind that.
+    *("[" * depth + "]" * depth + " x" for depth in range(970, 1000)),
+    f'"{loopback_net()}.3:70000"',
+    '"255.255.255.255:9"',
 )
 
 #: Stands in an entry where the strange value goes.
