Name targets of repeated openings in halves of 16 bits

Cause: the token of a further attempt held 8 bits of the sequence number, which fit that of a later packet once in 256 times; the packet then seemed to be at the start of its flow and went to the second target. A flow whose target is silent in a long pause is tried with each of its requests.

Change: one half of the token names the first target, the other one the target of the attempt, masked with the sequence number. With n targets a wrong reading of either kind comes n times in 65,536, 26 times less at ten targets; there is no search for pairs any more.

--- a/citronspring/tokens/entities.py
+++ b/citronspring/tokens/entities.py
@@ -15,13 +15,11 @@
 TOKEN_BITS = 32
 TOKEN_MASK = (1 << TOKEN_BITS) - 1
 
-#: Bits of the token of a further attempt that hold the sequence number.
-START_BITS = 8
-START_MASK = (1 << START_BITS) - 1
-
-#: Bits that differ between the names of first targets and those of further ones, so
-#: that a pair of targets differs from its reverse.
-FURTHER_SALT = 0x9E3779B1
+#: Bits of the token of a further attempt that name the first target, and as many that
+#: name the one of this attempt, masked with the sequence number. Each half is wrong by
+#: chance as often as the other, so neither gets more bits.
+HALF_BITS = TOKEN_BITS // 2
+HALF_MASK = (1 << HALF_BITS) - 1
 
 
 def route_key(address: int, port: int) -> int:
@@ -60,31 +58,31 @@
     """
     if first == current:
         return current ^ mix(first_seq)
-    pair = first_name(first) ^ further_name(current)
-    return pair << START_BITS | start_check(first_seq)
+    low = further_name(current) ^ start_mask(first_seq)
+    return first_name(first) << HALF_BITS | low
 
 
 def first_name(token: int) -> int:
-    """Return 24 bits that name the first target of an opening."""
-    return mix(token) >> START_BITS
+    """Return the half of a token that names the first target of an opening."""
+    return mix(token) >> HALF_BITS
 
 
 def further_name(token: int) -> int:
-    """Return 24 bits that name the target of a further attempt."""
-    return mix(token ^ FURTHER_SALT) >> START_BITS
+    """Return the half of a token that names the target of a further attempt."""
+    return mix(token) & HALF_MASK
 
 
-def start_check(first_seq: int) -> int:
-    """Return 8 bits that tell the sequence number of an opening from most others."""
-    return mix(first_seq) & START_MASK
+def start_mask(first_seq: int) -> int:
+    """Return the mask of that half for the sequence number of an opening."""
+    return mix(first_seq) & HALF_MASK
 
 
 def mix(value: int) -> int:
     """Return 32 bits, each of which depends on all 32 bits of a value.
 
-    The finalizer of MurmurHash3. Any linear hash, such as a CRC, would give many pairs
-    of targets the same name if the ids count up, and hash libraries are too slow to
-    import for a host that starts.
+    The finalizer of MurmurHash3. A linear hash, such as a CRC, gives many targets the
+    same name if their ids count up, and hash libraries are too slow to import for a
+    host that starts.
     """
     value = (value ^ value >> 16) * 0x85EBCA6B & TOKEN_MASK
     value = (value ^ value >> 13) * 0xC2B2AE35 & TOKEN_MASK
--- a/citronspring/tokens/opening_tokens.py
+++ b/citronspring/tokens/opening_tokens.py
@@ -7,24 +7,24 @@
 
 - The first attempt of a host: the target's token, masked with the sequence number of
   the opening. A host without a row can read it from the first packet of the flow only.
-- A further attempt: 24 bits for the first target and the one of this attempt, and 8
-  bits of the sequence number. On the first packet of the flow it names the latter. On
-  later ones it names the first target: the flow has been open there through another
-  host, and the answer to the further attempt came after that.
+- A further attempt: one half names the first target, the other one the target of this
+  attempt, masked with the sequence number. On the first packet of the flow the latter
+  can be read. On later ones only the first target can: the flow has been open there
+  through another host, and the answer to the further attempt came after that.
 """
 
 from __future__ import annotations
 
 from citronspring.light_stdlib import TYPE_CHECKING
 from citronspring.tokens.entities import (
-    START_BITS,
-    START_MASK,
+    HALF_BITS,
+    HALF_MASK,
     TOKEN_MASK,
     first_name,
     further_name,
     mix,
     opening_token,
-    start_check,
+    start_mask,
 )
 
 if TYPE_CHECKING:
@@ -32,8 +32,8 @@
     from citronspring.tokens.rows import FlowRow, TargetRow
     from citronspring.tokens.tables import Tables
 
-#: Largest number of targets of a route among which a pair is searched. With that many,
-#: 0.4% of the pairs share their 24 bits with another pair.
+#: Largest number of targets of a route among which half a token is searched. With that
+#: many, it is another target's name, too, in 0.4% of cases.
 MAX_SEARCHED_TARGETS = 256
 
 #: Seconds after an opening in which packets may have overtaken the flow's first one.
@@ -68,7 +68,7 @@
     row = tables.by_token.get(packet.token ^ mix(first_seq))
     if row is not None:
         return row
-    return find_target_of_pair(tables, packet, first_seq)
+    return find_target_of_further_attempt(tables, packet, first_seq)
 
 
 def find_tried_target(
@@ -85,11 +85,10 @@
     return None
 
 
-def find_target_of_pair(
+def find_target_of_further_attempt(
     tables: Tables, packet: Packet, first_seq: int
 ) -> TargetRow | None:
     """Return the target that the token of another host's further attempt names."""
-    pair = packet.token >> START_BITS
     rows = [
         row
         for service in tables.route_services.get(packet.route, ())
@@ -97,14 +96,12 @@
     ]
     if len(rows) > MAX_SEARCHED_TARGETS:
         return None
-    firsts = {first_name(row.token): row for row in rows}
-    found = []
-    for current in rows:
-        first = firsts.get(pair ^ further_name(current.token))
-        if first is not None and first is not current:
-            found.append((first, current))
-    if len(found) != 1:
+    name = packet.token >> HALF_BITS
+    firsts = [row for row in rows if first_name(row.token) == name]
+    if len(firsts) != 1:
         return None
-    ((first, current),) = found
-    at_start = packet.token & START_MASK == start_check(first_seq)
-    return current if at_start else first
+    name = packet.token & HALF_MASK ^ start_mask(first_seq)
+    named = [row for row in rows if further_name(row.token) == name]
+    if not named:
+        return firsts[0]
+    return named[0] if len(named) == 1 else None
--- a/tests/test_tokens/test_opening_tokens.py
+++ b/tests/test_tokens/test_opening_tokens.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from random import Random
+
 import pytest
 
 from citronspring.tcp_flags import ACK
@@ -175,14 +177,18 @@
 
 @pytest.mark.parametrize("ids", [COUNTED, SCATTERED], ids=["counted", "scattered"])
 @pytest.mark.parametrize("requests", [0, 3])
-def test_pairs_of_targets_are_not_confused(ids, requests):
-    """Ids that count up once gave many pairs the same name."""
+def test_targets_of_further_attempts_are_not_confused(ids, requests):
+    """Ids that count up once gave many pairs of targets the same token.
+
+    One packet in 256 of a moved flow once seemed to be at the flow's start.
+    """
     host = Driver(*(make_target(one) for one in ids))
     rows = list(host.tables.targets.values())
-    unread = 0
+    rng = Random(1)
+    unread, wrong = 0, 0
     for first in rows:
         for second in rows:
-            first_seq = first.token + second.token & 0xFFFFFFFF
+            first_seq = rng.getrandbits(32)
             token = opening_token(first.token, second.token, first_seq)
             seq = first_seq + 1 + 300 * requests & 0xFFFFFFFF
             packet = Packet(b"flow", PREVIEWS, ACK, token, seq, 5001, 100)
@@ -190,5 +196,8 @@
             expected = first if requests else second
             if requests and first is second:
                 expected = None
-            unread += found is not expected
-    assert unread <= len(rows) ** 2 * 0.01
+            unread += found is None and expected is not None
+            wrong += found not in (None, expected)
+    # Sixty names in halves of 16 bits: 0.1% of both by chance.
+    assert unread <= len(rows) ** 2 * 0.002
+    assert wrong <= len(rows) ** 2 * 0.002
